Serve the whole path thin: caller, entry, sidecar, upstream

Cause: nothing existed.

Change: Maven modules core <- wire <- runtime <- platform <- entry, sidecar, cli; fakes beside. Decisions are pure state machines in core (Dispatcher, SidecarGate, SidecarQueue, ClaimLedger, PublicationMachine, SpreadController); daemons turn sockets and timers into events. A demo script runs 10 processes.

Weighed: start-time fair queueing took the place of the deficit round robin of the design, because one ordered set serves both the next team and the eviction victim in logarithmic time without a quantum to tune. tomlj took the place of jackson-dataformat-toml, because the latter gives no positions for mistakes.

A first run printed no stop lines: the JDK resets the log from its own shutdown hook; a log manager that ignores the reset mends it.

--- /dev/null
+++ b/cli/src/main/java/org/citrontide/cli/LoadCommand.java
@@ -0,0 +1,87 @@
+package org.citrontide.cli;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.citrontide.cli.load.LoadPlan;
+import org.citrontide.cli.load.LoadReport;
+import org.citrontide.cli.load.LoadRun;
+
+/** The command {@code load}. */
+final class LoadCommand implements Command {
+    private static final int MAX_RATE = 20_000;
+    private static final int MAX_SECONDS = 600;
+
+    @Override
+    public String name() {
+        return "load";
+    }
+
+    @Override
+    public String operands() {
+        return "";
+    }
+
+    @Override
+    public String summary() {
+        return "Sends a bounded load to addresses of this machine and reports what became of it.";
+    }
+
+    @Override
+    public Options options() {
+        return new Options()
+                .addOption(null, "target", true, "IP:PORT of entries or a fake, several by commas; loopback only")
+                .addOption(null, "path", true, "path of the requests (/services/booking/turns/1)")
+                .addOption(null, "method", true, "HTTP method (GET)")
+                .addOption(null, "body", true, "body of the requests; %n stands for the number of the request")
+                .addOption(null, "key", true, "idempotency key; %n stands for the number of the request")
+                .addOption(null, "tokens", true, "teams' tokens, used in turn, by commas")
+                .addOption(null, "urgency", true, "live, daily or overnight")
+                .addOption(null, "timeout-s", true, "Request-Timeout in seconds")
+                .addOption(null, "rate", true, "requests a second (100)")
+                .addOption(null, "seconds", true, "duration in s (5)")
+                .addOption(null, "label", true, "name of the row in the report (load)")
+                .addOption(null, "json", true, "file to which the report is written as JSON")
+                .addOption(null, "list-verdicts", true, "file that gets one line a request: number, status, verdict");
+    }
+
+    @Override
+    public ExitCode run(CommandLine line) throws IOException, UsageException {
+        LoadPlan plan = new LoadPlan(
+                line.getOptionValue("label", "load"),
+                Stores.addresses(line, "target"),
+                line.getOptionValue("method", "GET"),
+                line.getOptionValue("path", "/services/booking/turns/1"),
+                Optional.ofNullable(line.getOptionValue("body")),
+                Optional.ofNullable(line.getOptionValue("key")),
+                List.of(line.getOptionValue("tokens", "").split(",")),
+                Optional.ofNullable(line.getOptionValue("urgency")),
+                Optional.ofNullable(line.getOptionValue("timeout-s")),
+                number(line, "rate", 100, MAX_RATE),
+                number(line, "seconds", 5, MAX_SECONDS));
+        if (plan.targets().stream().anyMatch(a -> !a.getAddress().isLoopbackAddress())) {
+            throw new UsageException("--target: only loopback addresses are allowed");
+        }
+        LoadReport report = LoadRun.run(plan);
+        System.out.print(report.text());
+        if (line.hasOption("json")) {
+            java.nio.file.Files.writeString(Path.of(line.getOptionValue("json")), report.json());
+        }
+        if (line.hasOption("list-verdicts")) {
+            java.nio.file.Files.write(Path.of(line.getOptionValue("list-verdicts")), report.verdictLines());
+        }
+        return ExitCode.DONE;
+    }
+
+    private static int number(CommandLine line, String option, int fallback, int most) throws UsageException {
+        String text = line.getOptionValue(option, Integer.toString(fallback));
+        if (!text.matches("[0-9]{1,6}") || Integer.parseInt(text) < 1 || Integer.parseInt(text) > most) {
+            throw new UsageException("--" + option + ": found \"" + text + "\", expected 1 to " + most);
+        }
+        return Integer.parseInt(text);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/citrontide/core/toml/TomlSection.java
@@ -0,0 +1,358 @@
+package org.citrontide.core.toml;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Supplier;
+
+import org.apache.commons.text.similarity.LevenshteinDistance;
+import org.tomlj.Toml;
+import org.tomlj.TomlArray;
+import org.tomlj.TomlParseResult;
+import org.tomlj.TomlPosition;
+import org.tomlj.TomlTable;
+
+/**
+ * Reads typed values from one table of a TOML file and collects every mistake with its position.
+ *
+ * <p>Each read names the key, so that {@link #finish()} can report the keys that nobody read. A read that fails returns
+ * a placeholder; the caller drops the whole result once there are violations. Not thread-safe.
+ */
+public final class TomlSection {
+    private static final int MAX_SUGGESTION_DISTANCE = 3;
+
+    private final String file;
+    private final String prefix;
+    private final TomlTable table;
+    private final TomlPosition start;
+    private final List<Violation> violations;
+    private final Set<String> known = new TreeSet<>();
+    private final List<TomlSection> children = new ArrayList<>();
+
+    private TomlSection(String file, String prefix, TomlTable table, TomlPosition start, List<Violation> violations) {
+        this.file = file;
+        this.prefix = prefix;
+        this.table = table;
+        this.start = start;
+        this.violations = violations;
+    }
+
+    /**
+     * Parses a file. Syntax errors become violations of the returned section.
+     *
+     * @param file name used in messages
+     * @param text content of the file
+     * @return the root table
+     */
+    public static TomlSection parse(String file, String text) {
+        TomlParseResult result = Toml.parse(text);
+        List<Violation> found = new ArrayList<>();
+        result.errors()
+                .forEach(e -> found.add(new Violation(
+                        file,
+                        e.position().line(),
+                        e.position().column(),
+                        "",
+                        Violation.Kind.SYNTAX,
+                        "\"" + firstLine(e.getMessage()) + "\"",
+                        "valid TOML")));
+        return new TomlSection(file, "", result, null, found);
+    }
+
+    /**
+     * Reads a required string.
+     *
+     * @param key key in this table
+     * @return the value, or an empty string after a mistake
+     */
+    public String requireString(String key) {
+        return optionalString(key).orElseGet(() -> missing(key, "a string", ""));
+    }
+
+    /**
+     * Reads an optional string.
+     *
+     * @param key key in this table
+     * @return the value, if the file has a non-empty one
+     */
+    public Optional<String> optionalString(String key) {
+        known.add(key);
+        Object v = table.get(List.of(key));
+        if (v == null) {
+            return Optional.empty();
+        }
+        if (!(v instanceof String s)) {
+            report(key, Violation.Kind.WRONG_TYPE, describe(v), "a string");
+            return Optional.of("");
+        }
+        if (s.isBlank()) {
+            report(key, Violation.Kind.OUT_OF_RANGE, "an empty string", "a non-empty string");
+        }
+        return Optional.of(s);
+    }
+
+    /**
+     * Reads an integer within a range.
+     *
+     * @param key key in this table
+     * @param min least value allowed
+     * @param max greatest value allowed
+     * @param fallback value if the key is absent
+     * @return the value
+     */
+    public int integer(String key, int min, int max, int fallback) {
+        known.add(key);
+        Object v = table.get(List.of(key));
+        if (v == null) {
+            return fallback;
+        }
+        String expected = "an integer from " + min + " to " + max;
+        if (!(v instanceof Long n)) {
+            report(key, Violation.Kind.WRONG_TYPE, describe(v), expected);
+            return fallback;
+        }
+        if (n < min || n > max) {
+            report(key, Violation.Kind.OUT_OF_RANGE, describe(v), expected);
+            return fallback;
+        }
+        return n.intValue();
+    }
+
+    /**
+     * Reads a required integer within a range.
+     *
+     * @param key key in this table
+     * @param min least value allowed
+     * @param max greatest value allowed
+     * @return the value, or the least one after a mistake
+     */
+    public int requireInteger(String key, int min, int max) {
+        if (table.get(List.of(key)) == null) {
+            known.add(key);
+            return missing(key, "an integer from " + min + " to " + max, min);
+        }
+        return integer(key, min, max, min);
+    }
+
+    /**
+     * Reads a duration given as an integer of milliseconds.
+     *
+     * @param key key in this table
+     * @param min least value in ms
+     * @param max greatest value in ms
+     * @param fallback value in ms if the key is absent
+     * @return the duration
+     */
+    public Duration milliseconds(String key, int min, int max, int fallback) {
+        return Duration.ofMillis(integer(key, min, max, fallback));
+    }
+
+    /**
+     * Reads an optional truth value.
+     *
+     * @param key key in this table
+     * @param fallback value if the key is absent
+     * @return the value
+     */
+    public boolean bool(String key, boolean fallback) {
+        known.add(key);
+        Object v = table.get(List.of(key));
+        if (v == null) {
+            return fallback;
+        }
+        if (!(v instanceof Boolean b)) {
+            report(key, Violation.Kind.WRONG_TYPE, describe(v), "true or false");
+            return fallback;
+        }
+        return b;
+    }
+
+    /**
+     * Reads one word of a fixed set.
+     *
+     * @param <E> the enumeration
+     * @param key key in this table
+     * @param type the enumeration, whose names in lower case are the words
+     * @param fallback value if the key is absent; empty makes the key required
+     * @return the value, or the first of the set after a mistake
+     */
+    public <E extends Enum<E>> E word(String key, Class<E> type, Optional<E> fallback) {
+        known.add(key);
+        E[] all = type.getEnumConstants();
+        String expected = "one of "
+                + String.join(", ", Arrays.stream(all).map(TomlSection::wordOf).toList());
+        Object v = table.get(List.of(key));
+        if (v == null) {
+            return fallback.orElseGet(() -> missing(key, expected, all[0]));
+        }
+        for (E e : all) {
+            if (wordOf(e).equals(v)) {
+                return e;
+            }
+        }
+        report(key, Violation.Kind.OUT_OF_RANGE, describe(v), expected);
+        return all[0];
+    }
+
+    /**
+     * Reads a list of strings.
+     *
+     * @param key key in this table
+     * @return the strings, empty if the key is absent
+     */
+    public List<String> strings(String key) {
+        known.add(key);
+        Object v = table.get(List.of(key));
+        if (v == null) {
+            return List.of();
+        }
+        if (!(v instanceof TomlArray a) || !a.toList().stream().allMatch(String.class::isInstance)) {
+            report(key, Violation.Kind.WRONG_TYPE, describe(v), "a list of strings");
+            return List.of();
+        }
+        return a.toList().stream().map(String.class::cast).toList();
+    }
+
+    /**
+     * Opens a table inside this one.
+     *
+     * @param key key in this table
+     * @return the table, if the file has it
+     */
+    public Optional<TomlSection> section(String key) {
+        known.add(key);
+        Object v = table.get(List.of(key));
+        if (v == null) {
+            return Optional.empty();
+        }
+        if (!(v instanceof TomlTable t)) {
+            report(key, Violation.Kind.WRONG_TYPE, describe(v), "a table");
+            return Optional.empty();
+        }
+        return Optional.of(child(prefix + key + ".", t, table.inputPositionOf(List.of(key))));
+    }
+
+    /**
+     * Opens an array of tables.
+     *
+     * @param key key in this table
+     * @return the tables in order, empty if the key is absent
+     */
+    public List<TomlSection> sections(String key) {
+        known.add(key);
+        Object v = table.get(List.of(key));
+        if (v == null) {
+            return List.of();
+        }
+        if (!(v instanceof TomlArray a) || !a.toList().stream().allMatch(TomlTable.class::isInstance)) {
+            report(key, Violation.Kind.WRONG_TYPE, describe(v), "an array of tables");
+            return List.of();
+        }
+        List<TomlSection> list = new ArrayList<>();
+        for (int i = 0; i < a.size(); i++) {
+            list.add(child(prefix + key + "[" + i + "].", a.getTable(i), a.inputPositionOf(i)));
+        }
+        return list;
+    }
+
+    /**
+     * Returns the keys of this table, for tables whose keys are names.
+     *
+     * @return the keys in alphabetical order, all counted as known
+     */
+    public List<String> names() {
+        known.addAll(table.keySet());
+        return table.keySet().stream().sorted().toList();
+    }
+
+    /**
+     * Records a mistake found by the caller.
+     *
+     * @param key key in this table
+     * @param kind sort of mistake
+     * @param found what the file has
+     * @param expected what was expected
+     */
+    public void report(String key, Violation.Kind kind, String found, String expected) {
+        TomlPosition p = table.inputPositionOf(List.of(key));
+        if (p == null) {
+            p = start;
+        }
+        int line = p == null ? 0 : p.line();
+        int column = p == null ? 0 : p.column();
+        violations.add(new Violation(file, line, column, prefix + key, kind, found, expected));
+    }
+
+    /**
+     * Ends the reading: keys that were never read are mistakes.
+     *
+     * @param <T> type of the value
+     * @param build makes the value; called only if there are no mistakes
+     * @return the value or all mistakes
+     */
+    public <T> Checked<T> finish(Supplier<T> build) {
+        boolean parsed = violations.stream().noneMatch(v -> v.kind() == Violation.Kind.SYNTAX);
+        if (parsed) {
+            reportUnknownKeys();
+        } else {
+            violations.removeIf(v -> v.kind() != Violation.Kind.SYNTAX);
+        }
+        if (violations.isEmpty()) {
+            return new Checked<>(Optional.of(build.get()), List.of());
+        }
+        violations.sort(Comparator.comparingInt(Violation::line).thenComparingInt(Violation::column));
+        return new Checked<>(Optional.empty(), violations);
+    }
+
+    private void reportUnknownKeys() {
+        for (String key : table.keySet()) {
+            if (!known.contains(key)) {
+                report(key, Violation.Kind.UNKNOWN_KEY, "unknown key", suggestion(key));
+            }
+        }
+        children.forEach(TomlSection::reportUnknownKeys);
+    }
+
+    private String suggestion(String key) {
+        LevenshteinDistance distance = LevenshteinDistance.getDefaultInstance();
+        return known.stream()
+                .min(Comparator.comparingInt(k -> distance.apply(k, key)))
+                .filter(k -> distance.apply(k, key) <= MAX_SUGGESTION_DISTANCE)
+                .map(k -> "\"" + k + "\"")
+                .orElse("one of " + String.join(", ", known));
+    }
+
+    private TomlSection child(String path, TomlTable t, TomlPosition position) {
+        TomlSection c = new TomlSection(file, path, t, position, violations);
+        children.add(c);
+        return c;
+    }
+
+    private <T> T missing(String key, String expected, T placeholder) {
+        report(key, Violation.Kind.MISSING_KEY, "nothing", expected);
+        return placeholder;
+    }
+
+    private static String wordOf(Enum<?> e) {
+        return e.name().toLowerCase(Locale.ROOT);
+    }
+
+    private static String describe(Object v) {
+        return switch (v) {
+            case String s -> "\"" + s + "\"";
+            case TomlTable t -> "a table";
+            case TomlArray a -> "a list";
+            default -> v.toString();
+        };
+    }
+
+    private static String firstLine(String s) {
+        return s == null ? "" : s.lines().findFirst().orElse("");
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/citrontide/entry/daemon/EntryModule.java
@@ -0,0 +1,103 @@
+package org.citrontide.entry.daemon;
+
+import javax.inject.Singleton;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
+
+import dagger.Module;
+import dagger.Provides;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.citrontide.core.dispatch.DispatchEvent;
+import org.citrontide.entry.dispatch.DispatchShell;
+import org.citrontide.entry.dispatch.EntryMetrics;
+import org.citrontide.entry.http.EntryHandler;
+import org.citrontide.platform.configuration.ConfigurationService;
+import org.citrontide.platform.configuration.StoredConfiguration;
+import org.citrontide.platform.links.ProcessLinks;
+import org.citrontide.platform.store.HttpClients;
+import org.citrontide.platform.store.StoreClient;
+import org.citrontide.runtime.duty.Clock;
+import org.citrontide.wire.generated.ProcessIdentity;
+import org.citrontide.wire.link.LinkEndpoint;
+
+/** Builds the parts of an entry. Used once, at the start of the process. */
+@Module
+final class EntryModule {
+    private static final int STORE_THREADS = 4;
+    private static final int STORE_CONNECTIONS = 8;
+    private static final int LINK_THREADS = 2;
+
+    private final EntrySettings settings;
+    private final SplittableRandom random;
+    private final long incarnation;
+
+    EntryModule(EntrySettings settings, long seed) {
+        this.settings = settings;
+        this.random = new SplittableRandom(seed);
+        this.incarnation = random.nextLong();
+    }
+
+    @Provides
+    @Singleton
+    PrometheusRegistry registry() {
+        return new PrometheusRegistry();
+    }
+
+    @Provides
+    RandomGenerator random() {
+        return random.split();
+    }
+
+    @Provides
+    @Singleton
+    EntryMetrics metrics(PrometheusRegistry registry) {
+        return new EntryMetrics(registry, settings.maxTeamLabels());
+    }
+
+    @Provides
+    @Singleton
+    StoreClient store() {
+        try {
+            return new StoreClient(
+                    HttpClients.start("store-client", STORE_THREADS, STORE_CONNECTIONS),
+                    settings.process().stores());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    @Provides
+    @Singleton
+    DispatchShell dispatch(RandomGenerator r, EntryMetrics metrics) {
+        return new DispatchShell(settings.process().zone(), r, Clock.SYSTEM, metrics);
+    }
+
+    @Provides
+    @Singleton
+    ConfigurationService configuration(StoreClient store, RandomGenerator r, DispatchShell dispatch) {
+        return new ConfigurationService(
+                new StoredConfiguration(store), Clock.SYSTEM, r, c -> dispatch.learn(new DispatchEvent.Configured(c)));
+    }
+
+    @Provides
+    @Singleton
+    LinkEndpoint links(ConfigurationService configuration, DispatchShell dispatch) {
+        ProcessIdentity self = ProcessIdentity.newBuilder()
+                .setVm(settings.process().vm())
+                .setZone(settings.process().zone())
+                .setRole("entry")
+                .setIncarnation(incarnation)
+                .build();
+        return new LinkEndpoint(
+                LINK_THREADS, settings.process().linkKey(), self, new ProcessLinks(configuration, dispatch));
+    }
+
+    @Provides
+    @Singleton
+    EntryHandler handler(ConfigurationService configuration, DispatchShell dispatch) {
+        return new EntryHandler(configuration, dispatch, Clock.SYSTEM, incarnation);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/citrontide/entry/daemon/EntryParts.java
@@ -0,0 +1,32 @@
+package org.citrontide.entry.daemon;
+
+import javax.inject.Singleton;
+
+import java.util.random.RandomGenerator;
+
+import dagger.Component;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.citrontide.entry.dispatch.DispatchShell;
+import org.citrontide.entry.http.EntryHandler;
+import org.citrontide.platform.configuration.ConfigurationService;
+import org.citrontide.platform.store.StoreClient;
+import org.citrontide.wire.link.LinkEndpoint;
+
+/** The parts of an entry, wired by Dagger. */
+@Singleton
+@Component(modules = EntryModule.class)
+interface EntryParts {
+    PrometheusRegistry registry();
+
+    RandomGenerator random();
+
+    StoreClient store();
+
+    DispatchShell dispatch();
+
+    ConfigurationService configuration();
+
+    LinkEndpoint links();
+
+    EntryHandler handler();
+}
--- /dev/null
+++ b/entry/src/main/java/org/citrontide/entry/daemon/EntrySettings.java
@@ -0,0 +1,53 @@
+package org.citrontide.entry.daemon;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+
+import org.citrontide.core.toml.Checked;
+import org.citrontide.core.toml.TomlSection;
+import org.citrontide.runtime.settings.ProcessSettings;
+
+/**
+ * The settings of an entry. Immutable.
+ *
+ * @param process settings that every process has
+ * @param callerAddress where callers' requests are accepted
+ * @param zones availability zones whose upstreams are used, the own one first
+ * @param maxTeamLabels teams that have metric labels of their own
+ * @param httpThreads most threads for callers' connections
+ */
+public record EntrySettings(
+        ProcessSettings process,
+        InetSocketAddress callerAddress,
+        List<String> zones,
+        int maxTeamLabels,
+        int httpThreads) {
+    private static final int MAX_LABELS = 1000;
+    private static final int DEFAULT_LABELS = 300;
+    private static final int LEAST_THREADS = 4;
+    private static final int MAX_THREADS = 64;
+    private static final int DEFAULT_THREADS = 8;
+
+    /** Copies the list. */
+    public EntrySettings {
+        zones = List.copyOf(zones);
+    }
+
+    /**
+     * Reads a settings file.
+     *
+     * @param file name used in messages
+     * @param text content of the file
+     * @return the settings or every mistake
+     */
+    public static Checked<EntrySettings> parse(String file, String text) {
+        TomlSection root = TomlSection.parse(file, text);
+        ProcessSettings process = ProcessSettings.read(root);
+        InetSocketAddress caller = ProcessSettings.address(root, "caller_address");
+        List<String> zones = root.strings("zones");
+        int labels = root.integer("max_team_labels", 0, MAX_LABELS, DEFAULT_LABELS);
+        int threads = root.integer("http_threads", LEAST_THREADS, MAX_THREADS, DEFAULT_THREADS);
+        List<String> used = zones.isEmpty() ? List.of(process.zone()) : zones;
+        return root.finish(() -> new EntrySettings(process, caller, used, labels, threads));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/citrontide/entry/dispatch/DispatchShell.java
@@ -0,0 +1,344 @@
+package org.citrontide.entry.dispatch;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.UnsafeByteOperations;
+import org.citrontide.core.claim.KeyHash;
+import org.citrontide.core.dispatch.DispatchAction;
+import org.citrontide.core.dispatch.DispatchEvent;
+import org.citrontide.core.dispatch.DispatchRequest;
+import org.citrontide.core.dispatch.Dispatcher;
+import org.citrontide.core.membership.SidecarReport;
+import org.citrontide.core.membership.UpstreamId;
+import org.citrontide.core.publication.ServiceFile;
+import org.citrontide.core.verdict.Reason;
+import org.citrontide.core.verdict.Verdict;
+import org.citrontide.entry.filter.RequestContext;
+import org.citrontide.entry.http.CallerExchange;
+import org.citrontide.entry.http.EntryHandler;
+import org.citrontide.platform.links.ProcessLinks;
+import org.citrontide.runtime.duty.Clock;
+import org.citrontide.runtime.duty.Duty;
+import org.citrontide.runtime.log.EventLog;
+import org.citrontide.wire.codec.VerdictCodec;
+import org.citrontide.wire.generated.AnswerEnd;
+import org.citrontide.wire.generated.Attempt;
+import org.citrontide.wire.generated.Cancel;
+import org.citrontide.wire.generated.Credit;
+import org.citrontide.wire.generated.Frame;
+import org.citrontide.wire.generated.StatusReport;
+import org.citrontide.wire.link.Link;
+import org.citrontide.wire.link.LinkEndpoint;
+
+/**
+ * Runs the dispatcher on a thread of its own, and joins it to the links and to the callers.
+ *
+ * <p>Invariant: the dispatcher and the maps of links are touched by the dispatch thread alone. Safe for use by many
+ * threads.
+ */
+public final class DispatchShell implements EntryHandler.ExchangeSink, ProcessLinks.RoleLinks, AutoCloseable {
+    private static final EventLog LOG = EventLog.of(DispatchShell.class);
+    private static final int RING = 16_384;
+    private static final int WINDOW_BYTES = 256 * 1024;
+    private static final Duration RING_FULL_RETRY_AFTER = Duration.ofSeconds(1);
+    private static final long IDLE_WAKE_NANOS = Duration.ofSeconds(1).toNanos();
+
+    private final Clock clock;
+    private final Dispatcher dispatcher;
+    private final EntryMetrics metrics;
+    private final Duty<DispatchEvent> duty;
+    private final Map<Long, CallerExchange> exchanges = new ConcurrentHashMap<>();
+    private final Map<UpstreamId, LinkEndpoint.Dialled> dialled = new HashMap<>();
+    private final Map<UpstreamId, Link> links = new ConcurrentHashMap<>();
+    private final Map<UpstreamId, SidecarReport> reports = new ConcurrentHashMap<>();
+    private final AtomicLong nextRequest = new AtomicLong(1);
+    private Function<InetSocketAddress, LinkEndpoint.Dialled> dial = a -> {
+        throw new IllegalStateException("not started");
+    };
+    private volatile int openRequests;
+    private volatile long version;
+
+    /**
+     * Prepares the shell; {@link #start} starts it.
+     *
+     * @param zone the entry's availability zone
+     * @param random source of routing choices
+     * @param clock source of time
+     * @param metrics the entry's metrics
+     */
+    public DispatchShell(String zone, RandomGenerator random, Clock clock, EntryMetrics metrics) {
+        this.clock = clock;
+        this.metrics = metrics;
+        this.dispatcher = new Dispatcher(zone, random);
+        this.duty = new Duty<>("dispatch", RING, new DispatchHandler());
+    }
+
+    /**
+     * Starts the thread.
+     *
+     * @param dialler keeps a link to an address
+     */
+    public void start(Function<InetSocketAddress, LinkEndpoint.Dialled> dialler) {
+        dial = dialler;
+        duty.start();
+    }
+
+    /**
+     * Hands over what this entry learned of upstreams or configurations.
+     *
+     * @param event the event
+     */
+    public void learn(DispatchEvent event) {
+        duty.put(event);
+    }
+
+    /**
+     * Returns the requests without a final answer.
+     *
+     * @return count
+     */
+    public int openRequests() {
+        return Math.max(openRequests, exchanges.size());
+    }
+
+    @Override
+    public void accept(CallerExchange exchange) {
+        long id = nextRequest.getAndIncrement();
+        exchanges.put(id, exchange);
+        exchange.onCallerGone(() -> callerGone(id));
+        if (!duty.offer(new DispatchEvent.Arrived(facts(id, exchange.context())))) {
+            finish(id, new Verdict.NotRun(Reason.RING_FULL, RING_FULL_RETRY_AFTER))
+                    .ifPresent(e -> e.refuse(
+                            new Verdict.NotRun(Reason.RING_FULL, RING_FULL_RETRY_AFTER), "this entry is overloaded"));
+        }
+    }
+
+    @Override
+    public void refused(CallerExchange exchange, Verdict verdict) {
+        record(exchange, verdict);
+    }
+
+    @Override
+    public void linkUp(Link link) {
+        if (link.isDialled()) {
+            UpstreamId id = id(link);
+            links.put(id, link);
+            duty.put(new DispatchEvent.LinkUp(id));
+        }
+    }
+
+    @Override
+    public void linkDown(Link link) {
+        if (link.isDialled()) {
+            UpstreamId id = id(link);
+            links.remove(id, link);
+            reports.remove(id);
+            duty.put(new DispatchEvent.LinkDown(id));
+        }
+    }
+
+    @Override
+    public void received(Link link, Frame frame) {
+        switch (frame.getBodyCase()) {
+            case STATUS -> report(id(link), frame.getStatus());
+            case ANSWER_HEAD ->
+                duty.put(new DispatchEvent.Head(
+                        frame.getAnswerHead().getId(),
+                        frame.getAnswerHead().getStatus(),
+                        frame.getAnswerHead().getContentType()));
+            case ANSWER_CHUNK ->
+                duty.put(new DispatchEvent.Chunk(
+                        frame.getAnswerChunk().getId(),
+                        frame.getAnswerChunk().getOffset(),
+                        frame.getAnswerChunk().getData().toByteArray()));
+            case ANSWER_END -> ended(id(link), frame.getAnswerEnd());
+            default ->
+                LOG.warn("frame-unexpected")
+                        .with("kind", frame.getBodyCase())
+                        .with("peer", link.peer().getVm())
+                        .write();
+        }
+    }
+
+    @Override
+    public void close() {
+        duty.close();
+    }
+
+    private void callerGone(long id) {
+        finish(id, new Verdict.MayHaveRun(Reason.CANCELLED)).ifPresent(e -> duty.put(new DispatchEvent.CallerGone(id)));
+    }
+
+    private void report(UpstreamId id, StatusReport s) {
+        SidecarReport r =
+                new SidecarReport(s.getAccepting(), s.getRunning(), s.getWaiting(), s.getWaitMs(), s.getSlots());
+        reports.put(id, r);
+        duty.put(new DispatchEvent.Report(id, r));
+    }
+
+    private void ended(UpstreamId id, AnswerEnd end) {
+        duty.put(new DispatchEvent.Ended(end.getId(), VerdictCodec.decode(end, 0), end.getLength()));
+        if (end.hasLoad()) {
+            report(id, end.getLoad());
+        }
+    }
+
+    private static UpstreamId id(Link link) {
+        return new UpstreamId(
+                link.remote().getAddress().getHostAddress(), link.remote().getPort());
+    }
+
+    private static DispatchRequest facts(long id, RequestContext c) {
+        ServiceFile file = c.service().orElseThrow();
+        Optional<Integer> bucket = c.idempotencyKey()
+                .filter(k -> !c.repeatable())
+                .map(k -> KeyHash.of(file.service(), c.team(), k).bucket());
+        return new DispatchRequest(
+                id, file.service(), c.team(), c.urgency(), c.cost(), c.repeatable(), bucket, c.deadlineNanos());
+    }
+
+    private void perform(DispatchAction action) {
+        switch (action) {
+            case DispatchAction.Send s -> send(s);
+            case DispatchAction.Cancel c -> cancel(c);
+            case DispatchAction.Credit c -> credit(c.attempt(), c.upstream(), c.bytes());
+            case DispatchAction.Answer a ->
+                finish(a.request(), new Verdict.Completed(a.status()))
+                        .ifPresent(e -> e.answer(a.status(), a.contentType(), a.body()));
+            case DispatchAction.BeginStream b ->
+                find(b.request()).ifPresent(e -> e.beginStream(b.status(), b.contentType()));
+            case DispatchAction.Stream s ->
+                find(s.request())
+                        .ifPresent(e -> e.stream(s.data(), () -> credit(s.attempt(), s.upstream(), s.credit())));
+            case DispatchAction.EndStream s ->
+                finish(s.request(), s.verdict()).ifPresent(e -> e.endStream(s.verdict()));
+            case DispatchAction.Refuse r ->
+                finish(r.request(), r.verdict()).ifPresent(e -> e.refuse(r.verdict(), "see the title for the reason"));
+            case DispatchAction.Dial d -> dial(d.upstream());
+            case DispatchAction.Drop d ->
+                Optional.ofNullable(dialled.remove(d.upstream())).ifPresent(LinkEndpoint.Dialled::close);
+        }
+    }
+
+    private void dial(UpstreamId id) {
+        dialled.computeIfAbsent(id, i -> dial.apply(new InetSocketAddress(i.host(), i.port())));
+        if (links.containsKey(id)) {
+            step(new DispatchEvent.LinkUp(id));
+            Optional.ofNullable(reports.get(id)).ifPresent(r -> step(new DispatchEvent.Report(id, r)));
+        }
+    }
+
+    private void send(DispatchAction.Send s) {
+        Link link = links.get(s.upstream());
+        Optional<CallerExchange> exchange = find(s.request());
+        if (link == null || exchange.isEmpty()) {
+            duty.put(new DispatchEvent.NotSent(s.attempt()));
+            return;
+        }
+        RequestContext c = exchange.get().context();
+        Attempt.Builder a = Attempt.newBuilder()
+                .setId(s.attempt())
+                .setRequestId(exchange.get().requestId())
+                .setMethod(c.method())
+                .setPath(c.upstreamPath())
+                .setContentType(c.headers().contentType().orElse(""))
+                .setBody(body(c))
+                .setService(c.service().orElseThrow().service())
+                .setTeam(c.team())
+                .setUrgency(c.urgency().ordinal())
+                .setCost(c.cost())
+                .setRemainingMs(s.remaining().toMillis())
+                .setRepeatable(c.repeatable())
+                .setIdempotencyKey(c.idempotencyKey().orElse(""))
+                .setResumeAfterEvents(s.resumeAfterEvents())
+                .setWindow(WINDOW_BYTES);
+        link.send(Frame.newBuilder().setAttempt(a).build(), sent -> {
+            if (!sent) {
+                duty.put(new DispatchEvent.NotSent(s.attempt()));
+            }
+        });
+    }
+
+    private static ByteString body(RequestContext c) {
+        return UnsafeByteOperations.unsafeWrap(c.body());
+    }
+
+    private void cancel(DispatchAction.Cancel c) {
+        Optional.ofNullable(links.get(c.upstream()))
+                .ifPresent(l -> l.send(Frame.newBuilder()
+                        .setCancel(Cancel.newBuilder().setId(c.attempt()))
+                        .build()));
+    }
+
+    private void credit(long attempt, UpstreamId upstream, int bytes) {
+        Optional.ofNullable(links.get(upstream))
+                .ifPresent(l -> l.send(Frame.newBuilder()
+                        .setCredit(Credit.newBuilder().setId(attempt).setBytes(bytes))
+                        .build()));
+    }
+
+    private Optional<CallerExchange> find(long request) {
+        return Optional.ofNullable(exchanges.get(request));
+    }
+
+    private Optional<CallerExchange> finish(long request, Verdict verdict) {
+        Optional<CallerExchange> e = Optional.ofNullable(exchanges.remove(request));
+        e.ifPresent(x -> record(x, verdict));
+        return e;
+    }
+
+    private void record(CallerExchange e, Verdict verdict) {
+        RequestContext c = e.context();
+        Duration time = Duration.ofNanos(clock.nanos() - c.arrivedNanos());
+        String service = c.service().map(ServiceFile::service).orElse("none");
+        metrics.ended(service, c.team(), c.urgency(), verdict, time);
+        if (verdict instanceof Verdict.Completed) {
+            return;
+        }
+        LOG.info("request-ended")
+                .with("request", e.requestId())
+                .with("service", service)
+                .with("team", c.team())
+                .with("urgency", c.urgency().word())
+                .with("verdict", verdict.headerValue())
+                .with("reason", EntryMetrics.reason(verdict))
+                .with("ms", time.toMillis())
+                .write();
+    }
+
+    private void step(DispatchEvent event) {
+        dispatcher.on(event, clock.nanos()).forEach(this::perform);
+    }
+
+    private final class DispatchHandler implements Duty.Handler<DispatchEvent> {
+        @Override
+        public void handle(DispatchEvent event) {
+            if (event instanceof DispatchEvent.Configured c) {
+                version = c.configuration().version();
+            }
+            step(event);
+        }
+
+        @Override
+        public void wake() {
+            step(new DispatchEvent.Tick());
+            openRequests = dispatcher.openRequests();
+            metrics.state(openRequests, dispatcher.retries(), dispatcher.droppedFrames(), version);
+        }
+
+        @Override
+        public long nanosToNextWake() {
+            long now = clock.nanos();
+            return dispatcher.nextDeadlineNanos().map(d -> d - now).orElse(IDLE_WAKE_NANOS);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/citrontide/entry/http/Problem.java
@@ -0,0 +1,63 @@
+package org.citrontide.entry.http;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.citrontide.core.verdict.Reason;
+import org.citrontide.core.verdict.Verdict;
+
+/**
+ * The {@code application/problem+json} body of a refusal. Immutable.
+ *
+ * @param status HTTP status
+ * @param retryAfterSeconds when the caller may ask again, if that can help
+ * @param body the document
+ */
+record Problem(int status, Optional<Long> retryAfterSeconds, byte[] body) {
+    static final String CONTENT_TYPE = "application/problem+json";
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final long MILLIS_PER_SECOND = 1000;
+
+    static Problem of(Verdict verdict, String detail, String requestId) {
+        return switch (verdict) {
+            case Verdict.NotRun n -> build(verdict, n.reason(), n.retryAfter(), detail, requestId);
+            case Verdict.MayHaveRun m -> build(verdict, m.reason(), Duration.ZERO, detail, requestId);
+            case Verdict.Completed c -> throw new IllegalArgumentException("a completed request is no problem");
+        };
+    }
+
+    private static Problem build(Verdict verdict, Reason reason, Duration retryAfter, String detail, String requestId) {
+        Document d = new Document(
+                "urn:citrontide:reason:" + reason.key(),
+                reason.key(),
+                reason.httpStatus(),
+                detail,
+                verdict.headerValue(),
+                requestId);
+        try {
+            byte[] body = JSON.writeValueAsString(d).getBytes(StandardCharsets.UTF_8);
+            return new Problem(reason.httpStatus(), seconds(reason, retryAfter), body);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a document of strings and numbers is always JSON", e);
+        }
+    }
+
+    private static Optional<Long> seconds(Reason reason, Duration retryAfter) {
+        boolean helps = switch (reason) {
+            case BAD_REQUEST, UNAUTHENTICATED, UNKNOWN_SERVICE, BODY_TOO_LARGE, CANCELLED, CLAIMED_BEFORE -> false;
+            default -> true;
+        };
+        if (!helps) {
+            return Optional.empty();
+        }
+        long up = (retryAfter.toMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
+        return Optional.of(Math.max(1, up));
+    }
+
+    /** The fields of the document, as RFC 9457 names them, and two of our own. */
+    private record Document(String type, String title, int status, String detail, String verdict, String requestId) {}
+}
--- /dev/null
+++ b/wire/src/main/java/org/citrontide/wire/codec/ConfigurationCodec.java
@@ -0,0 +1,100 @@
+package org.citrontide.wire.codec;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.citrontide.core.publication.Configuration;
+import org.citrontide.core.publication.Head;
+import org.citrontide.core.publication.SpreadEvent;
+import org.citrontide.wire.generated.ConfigurationBundle;
+import org.citrontide.wire.generated.ConfigurationFile;
+import org.citrontide.wire.generated.ConfigurationHead;
+import org.citrontide.wire.generated.HeadEntry;
+import org.citrontide.wire.generated.PublicationRecord;
+
+/** Turns heads and configurations into bytes and back. Stateless and safe for use by many threads. */
+public final class ConfigurationCodec {
+    private ConfigurationCodec() {}
+
+    /**
+     * Encodes a head for the platform's service.
+     *
+     * @param head the head
+     * @return the value
+     */
+    public static byte[] encode(Head head) {
+        ConfigurationHead.Builder b = ConfigurationHead.newBuilder().setVersion(head.version());
+        head.files()
+                .forEach((name, f) -> b.addEntries(HeadEntry.newBuilder()
+                        .setName(name)
+                        .setVersion(f.version())
+                        .setHash(f.hash())
+                        .setPublicationId(f.publicationId())));
+        head.publications()
+                .forEach(p -> b.addPublications(
+                        PublicationRecord.newBuilder().setId(p.id()).setVersion(p.version())));
+        return b.build().toByteArray();
+    }
+
+    /**
+     * Decodes a head.
+     *
+     * @param value the value
+     * @return the head
+     * @throws InvalidProtocolBufferException if the value is not a head
+     */
+    public static Head decodeHead(byte[] value) throws InvalidProtocolBufferException {
+        ConfigurationHead h = ConfigurationHead.parseFrom(value);
+        Map<String, Head.HeadFile> files = new HashMap<>();
+        for (HeadEntry e : h.getEntriesList()) {
+            files.put(e.getName(), new Head.HeadFile(e.getVersion(), e.getHash(), e.getPublicationId()));
+        }
+        List<Head.Publication> publications = new ArrayList<>();
+        for (PublicationRecord p : h.getPublicationsList()) {
+            publications.add(new Head.Publication(p.getId(), p.getVersion()));
+        }
+        return new Head(h.getVersion(), files, publications);
+    }
+
+    /**
+     * Builds the answer to a peer that asks for what changed.
+     *
+     * @param c configuration in force here
+     * @param haveVersion version that the peer has
+     * @return every file's version, and the content of those that are newer
+     */
+    public static ConfigurationBundle bundle(Configuration c, long haveVersion) {
+        ConfigurationBundle.Builder b = ConfigurationBundle.newBuilder().setVersion(c.version());
+        c.files().forEach((name, f) -> {
+            ConfigurationFile.Builder file =
+                    ConfigurationFile.newBuilder().setName(name).setVersion(f.version());
+            if (f.version() > haveVersion) {
+                file.setContent(f.text());
+            }
+            b.addFiles(file);
+        });
+        return b.build();
+    }
+
+    /**
+     * Reads a peer's answer.
+     *
+     * @param peer identifier of the link
+     * @param bundle the answer
+     * @return the event for the spread controller
+     */
+    public static SpreadEvent.PeerFiles peerFiles(long peer, ConfigurationBundle bundle) {
+        Map<String, Long> versions = new HashMap<>();
+        Map<String, String> texts = new HashMap<>();
+        for (ConfigurationFile f : bundle.getFilesList()) {
+            versions.put(f.getName(), f.getVersion());
+            if (f.hasContent()) {
+                texts.put(f.getName(), f.getContent());
+            }
+        }
+        return new SpreadEvent.PeerFiles(peer, bundle.getVersion(), versions, texts);
+    }
+}
