--- a/core/src/main/java/org/citrontide/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/citrontide/core/dispatch/Dispatcher.java
@@ -289,6 +289,7 @@
             o.attempt = Optional.empty();
             Verdict outcome = verdict instanceof Verdict.Completed c ? wholeOrBroken(o, c, length) : verdict;
             directory.ended(upstream, isUpstreamFault(outcome));
+            o.mayHaveRun |= outcome instanceof Verdict.MayHaveRun;
             settle(o, outcome);
         }
 
@@ -299,6 +300,10 @@
 
         private void settle(OpenRequest o, Verdict outcome) {
             DispatchRequest r = o.request;
+            if (o.begun && o.splitter.isWhole()) {
+                finish(o, new Verdict.Completed(o.status));
+                return;
+            }
             RetryFacts facts = new RetryFacts(r.repeatable(), o.attempts, r.deadlineNanos());
             if (RetryPolicy.isRetried(facts, outcome, budget(r.service()), nowNanos)) {
                 retries++;
@@ -311,8 +316,9 @@
         private void finish(OpenRequest o, Verdict verdict) {
             close(o);
             learnAdmission(o.request, verdict);
+            Verdict end =
+                    verdict instanceof Verdict.NotRun n && o.mayHaveRun ? new Verdict.MayHaveRun(n.reason()) : verdict;
             if (o.begun) {
-                Verdict end = verdict instanceof Verdict.NotRun n ? new Verdict.MayHaveRun(n.reason()) : verdict;
                 out.add(new DispatchAction.EndStream(o.request.id(), end));
                 return;
             }
@@ -320,7 +326,7 @@
                 out.add(new DispatchAction.Answer(o.request.id(), o.status, o.contentType, o.body.toByteArray()));
                 return;
             }
-            out.add(new DispatchAction.Refuse(o.request.id(), verdict));
+            out.add(new DispatchAction.Refuse(o.request.id(), end));
         }
 
         private void learnAdmission(DispatchRequest r, Verdict verdict) {
--- a/core/src/main/java/org/citrontide/core/dispatch/OpenRequest.java
+++ b/core/src/main/java/org/citrontide/core/dispatch/OpenRequest.java
@@ -28,6 +28,9 @@
     Optional<Attempt> attempt = Optional.empty();
     int attempts;
 
+    /** Whether an attempt that has ended may have run. */
+    boolean mayHaveRun;
+
     /** Status of the current attempt's answer, 0 before its head. */
     int status;
 
--- a/core/src/main/java/org/citrontide/core/gate/SidecarGate.java
+++ b/core/src/main/java/org/citrontide/core/gate/SidecarGate.java
@@ -159,7 +159,7 @@
                 refuse(r.id(), Reason.NOT_READY, LEAST_RETRY_AFTER);
                 return;
             }
-            if (nowNanos >= r.waiting().deadlineNanos()) {
+            if (nowNanos >= r.waiting().deadlineNanos() || epochMillis >= r.latestEpochMillis()) {
                 refuse(r.id(), Reason.DEADLINE, Duration.ZERO);
                 return;
             }
@@ -256,7 +256,8 @@
         private void start(Slot slot, long latestNanos, long latestEpochMillis) {
             slot.started = true;
             long latest = Math.min(latestNanos, slot.request.waiting().deadlineNanos());
-            out.add(new GateAction.Start(slot.request.id(), latest, latestEpochMillis));
+            long latestEpoch = Math.min(latestEpochMillis, slot.request.latestEpochMillis());
+            out.add(new GateAction.Start(slot.request.id(), latest, latestEpoch));
         }
 
         private void drain() {
--- a/entry/src/main/java/org/citrontide/entry/dispatch/DispatchShell.java
+++ b/entry/src/main/java/org/citrontide/entry/dispatch/DispatchShell.java
@@ -257,6 +257,7 @@
                 .setUrgency(c.urgency().ordinal())
                 .setCost(c.cost())
                 .setRemainingMs(s.remaining().toMillis())
+                .setDeadlineEpochMs(clock.epochMillis() + s.remaining().toMillis())
                 .setRepeatable(c.repeatable())
                 .setIdempotencyKey(c.idempotencyKey().orElse(""))
                 .setResumeAfterEvents(s.resumeAfterEvents())
--- a/sidecar/src/main/java/org/citrontide/sidecar/gate/GateShell.java
+++ b/sidecar/src/main/java/org/citrontide/sidecar/gate/GateShell.java
@@ -13,6 +13,7 @@
 import org.citrontide.core.claim.ClaimAction;
 import org.citrontide.core.claim.KeyHash;
 import org.citrontide.core.claim.StoredAnswer;
+import org.citrontide.core.gate.AttemptSequence;
 import org.citrontide.core.gate.CallOutcome;
 import org.citrontide.core.gate.GateAction;
 import org.citrontide.core.gate.GateEvent;
@@ -61,6 +62,7 @@
     private final Map<AttemptKey, Long> numbers = new HashMap<>();
     private final Map<AttemptKey, UpstreamCall> calls = new ConcurrentHashMap<>();
     private final Map<Long, Link> links = new HashMap<>();
+    private final Map<Long, AttemptSequence> sequences = new HashMap<>();
     private final CountDownLatch drained = new CountDownLatch(1);
     private SidecarReport lastReport = new SidecarReport(false, 0, 0, 0, 0);
     private long lastReportNanos;
@@ -165,6 +167,11 @@
     }
 
     private void arrived(Link link, Attempt a, long nowNanos) {
+        AttemptSequence sequence = sequences.computeIfAbsent(link.id(), l -> new AttemptSequence());
+        if (!sequence.accept(a.getId())) {
+            LOG.warn("attempt-repeated").with("request", a.getRequestId()).write();
+            return;
+        }
         long number = nextNumber++;
         AttemptKey key = new AttemptKey(link.id(), a.getId());
         open.put(number, new Open(key, link, a, nowNanos));
@@ -179,7 +186,7 @@
             perform(new GateAction.End(number, new Verdict.NotRun(Reason.UNKNOWN_SERVICE, Duration.ZERO), 0));
             return;
         }
-        step(new GateEvent.Arrived(new GateRequest(w, a.getRepeatable(), hash)));
+        step(new GateEvent.Arrived(new GateRequest(w, a.getRepeatable(), hash, a.getDeadlineEpochMs())));
     }
 
     private void linkChanged(Link link, boolean up) {
@@ -189,6 +196,7 @@
             return;
         }
         links.remove(link.id());
+        sequences.remove(link.id());
         List<Long> orphans = open.entrySet().stream()
                 .filter(e -> e.getValue().link().id() == link.id())
                 .map(Map.Entry::getKey)
