Bound an entry's memory and measure added time, rate and idle cost

Cause: bin/measure rate ended the entry with "OutOfMemoryError: Java heap space" (48 MB heap, cold start at 1,000 requests/s). A class histogram showed 959 connections with a char array of 97 KB each: the HTTP parser's header cache.

Change: no header cache, 4 KB output buffers, a limit on connections (4,000) and on open requests (2,000; more are refused as not run at once).

--- a/cli/src/main/java/org/citrontide/cli/load/LoadPlan.java
+++ b/cli/src/main/java/org/citrontide/cli/load/LoadPlan.java
@@ -18,6 +18,7 @@
  * @param timeoutSeconds value of {@code Request-Timeout}
  * @param ratePerSecond requests sent a second, whether or not answers come
  * @param seconds duration in s
+ * @param warmUpSeconds time before in which the same load is sent and not counted, in s
  */
 public record LoadPlan(
         String label,
@@ -30,7 +31,8 @@
         Optional<String> urgency,
         Optional<String> timeoutSeconds,
         int ratePerSecond,
-        int seconds) {
+        int seconds,
+        int warmUpSeconds) {
 
     /** Copies the lists. */
     public LoadPlan {
--- a/cli/src/main/java/org/citrontide/cli/load/LoadRun.java
+++ b/cli/src/main/java/org/citrontide/cli/load/LoadRun.java
@@ -59,11 +59,12 @@
     }
 
     private LoadReport send() {
+        int skipped = plan.ratePerSecond() * plan.warmUpSeconds();
         int count = plan.ratePerSecond() * plan.seconds();
-        CountDownLatch left = new CountDownLatch(count);
+        CountDownLatch left = new CountDownLatch(skipped + count);
         long start = System.nanoTime();
-        for (int i = 0; i < count; i++) {
-            long due = start + i * TimeUnit.SECONDS.toNanos(1) / plan.ratePerSecond();
+        for (int i = -skipped; i < count; i++) {
+            long due = start + (i + skipped) * TimeUnit.SECONDS.toNanos(1) / plan.ratePerSecond();
             waitUntil(due);
             send(i, due, left);
         }
@@ -79,10 +80,10 @@
     }
 
     private void send(int i, long due, CountDownLatch left) {
-        InetSocketAddress a = plan.targets().get(i % plan.targets().size());
+        InetSocketAddress a = plan.targets().get(Math.floorMod(i, plan.targets().size()));
         Request r = client.newRequest("http://" + a.getHostString() + ":" + a.getPort() + numbered(plan.path(), i))
                 .method(plan.method());
-        String token = plan.tokens().get(i % plan.tokens().size());
+        String token = plan.tokens().get(Math.floorMod(i, plan.tokens().size()));
         r.headers(h -> {
             if (!token.isEmpty()) {
                 h.put("Authorization", "Bearer " + token);
@@ -95,7 +96,9 @@
         r.send(new BufferingResponseListener(MAX_ANSWER_BYTES) {
             @Override
             public void onComplete(Result result) {
-                record(i, due, result);
+                if (i >= 0) {
+                    record(i, due, result);
+                }
                 left.countDown();
             }
         });
--- a/core/src/main/java/org/citrontide/core/retry/RetryPolicy.java
+++ b/core/src/main/java/org/citrontide/core/retry/RetryPolicy.java
@@ -7,8 +7,8 @@
  * Decides whether a failed attempt is followed by another one.
  *
  * <p>Invariants: a request that must not be repeated is tried again only after {@link Verdict.NotRun}; nothing is tried
- * again past its deadline, outside the budget but for work handed back, or more than {@value #MAX_ATTEMPTS} times in all. The answer given up on
- * is final at once. Stateless and safe for use by many threads.
+ * again past its deadline, outside the budget but for work handed back, or more than {@value #MAX_ATTEMPTS} times in
+ * all. The answer given up on is final at once. Stateless and safe for use by many threads.
  */
 public final class RetryPolicy {
     private static final int MAX_ATTEMPTS = 4;
@@ -39,7 +39,7 @@
         return isHandedBack(outcome) || budget.tryRetry();
     }
 
-    /** Work that a stopping upstream hands back is placed elsewhere outside the budget: it comes once for each stop. */
+    /** Work that a stopping upstream hands back is placed outside the budget: it comes once for each stop. */
     private static boolean isHandedBack(Verdict outcome) {
         return outcome instanceof Verdict.NotRun n && n.reason() == Reason.DRAINING;
     }
--- a/entry/src/main/java/org/citrontide/entry/daemon/EntryDaemon.java
+++ b/entry/src/main/java/org/citrontide/entry/daemon/EntryDaemon.java
@@ -17,6 +17,7 @@
 import org.citrontide.runtime.settings.ProcessSettings;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.NetworkConnectionLimit;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -31,6 +32,7 @@
     private static final EventLog LOG = EventLog.of(EntryDaemon.class);
     private static final long POLL_MILLIS = 20;
     private static final int IDLE_TIMEOUT_MS = 30_000;
+    private static final int OUTPUT_BUFFER_BYTES = 4096;
 
     private final EntrySettings settings;
     private final EntryParts parts;
@@ -56,6 +58,8 @@
         HttpConfiguration http = new HttpConfiguration();
         http.setSendServerVersion(false);
         http.setSendDateHeader(false);
+        http.setHeaderCacheSize(0);
+        http.setOutputBufferSize(OUTPUT_BUFFER_BYTES);
         this.connector = new ServerConnector(server, 1, 1, new HttpConnectionFactory(http));
     }
 
@@ -79,6 +83,7 @@
         connector.setIdleTimeout(IDLE_TIMEOUT_MS);
         connector.setReuseAddress(true);
         server.addConnector(connector);
+        server.addBean(new NetworkConnectionLimit(settings.maxConnections(), connector));
         server.setHandler(parts.handler());
         try {
             server.start();
--- a/entry/src/main/java/org/citrontide/entry/daemon/EntryModule.java
+++ b/entry/src/main/java/org/citrontide/entry/daemon/EntryModule.java
@@ -72,7 +72,7 @@
     @Provides
     @Singleton
     DispatchShell dispatch(RandomGenerator r, EntryMetrics metrics) {
-        return new DispatchShell(settings.process().zone(), r, Clock.SYSTEM, metrics);
+        return new DispatchShell(settings.process().zone(), settings.maxOpenRequests(), r, Clock.SYSTEM, metrics);
     }
 
     @Provides
--- a/entry/src/main/java/org/citrontide/entry/daemon/EntrySettings.java
+++ b/entry/src/main/java/org/citrontide/entry/daemon/EntrySettings.java
@@ -15,18 +15,25 @@
  * @param zones availability zones whose upstreams are used, the own one first
  * @param maxTeamLabels teams that have metric labels of their own
  * @param httpThreads most threads for callers' connections
+ * @param maxConnections most connections of callers; more wait to be accepted
+ * @param maxOpenRequests most requests without a final answer; more are refused at once
  */
 public record EntrySettings(
         ProcessSettings process,
         InetSocketAddress callerAddress,
         List<String> zones,
         int maxTeamLabels,
-        int httpThreads) {
+        int httpThreads,
+        int maxConnections,
+        int maxOpenRequests) {
     private static final int MAX_LABELS = 1000;
     private static final int DEFAULT_LABELS = 300;
     private static final int LEAST_THREADS = 4;
     private static final int MAX_THREADS = 64;
     private static final int DEFAULT_THREADS = 8;
+    private static final int MAX_CONNECTIONS = 100_000;
+    private static final int DEFAULT_CONNECTIONS = 4000;
+    private static final int DEFAULT_OPEN_REQUESTS = 2000;
 
     /** Copies the list. */
     public EntrySettings {
@@ -47,7 +54,9 @@
         List<String> zones = root.strings("zones");
         int labels = root.integer("max_team_labels", 0, MAX_LABELS, DEFAULT_LABELS);
         int threads = root.integer("http_threads", LEAST_THREADS, MAX_THREADS, DEFAULT_THREADS);
+        int connections = root.integer("max_connections", 1, MAX_CONNECTIONS, DEFAULT_CONNECTIONS);
+        int open = root.integer("max_open_requests", 1, MAX_CONNECTIONS, DEFAULT_OPEN_REQUESTS);
         List<String> used = zones.isEmpty() ? List.of(process.zone()) : zones;
-        return root.finish(() -> new EntrySettings(process, caller, used, labels, threads));
+        return root.finish(() -> new EntrySettings(process, caller, used, labels, threads, connections, open));
     }
 }
--- a/entry/src/main/java/org/citrontide/entry/dispatch/DispatchShell.java
+++ b/entry/src/main/java/org/citrontide/entry/dispatch/DispatchShell.java
@@ -52,6 +52,7 @@
     private static final Duration RING_FULL_RETRY_AFTER = Duration.ofSeconds(1);
     private static final long IDLE_WAKE_NANOS = Duration.ofSeconds(1).toNanos();
 
+    private final int maxOpenRequests;
     private final Clock clock;
     private final Dispatcher dispatcher;
     private final EntryMetrics metrics;
@@ -71,11 +72,13 @@
      * Prepares the shell; {@link #start} starts it.
      *
      * @param zone the entry's availability zone
+     * @param maxOpenRequests most requests without a final answer; more are refused at once
      * @param random source of routing choices
      * @param clock source of time
      * @param metrics the entry's metrics
      */
-    public DispatchShell(String zone, RandomGenerator random, Clock clock, EntryMetrics metrics) {
+    public DispatchShell(String zone, int maxOpenRequests, RandomGenerator random, Clock clock, EntryMetrics metrics) {
+        this.maxOpenRequests = maxOpenRequests;
         this.clock = clock;
         this.metrics = metrics;
         this.dispatcher = new Dispatcher(zone, random);
@@ -115,10 +118,11 @@
         long id = nextRequest.getAndIncrement();
         exchanges.put(id, exchange);
         exchange.onCallerGone(() -> callerGone(id));
-        if (!duty.offer(new DispatchEvent.Arrived(facts(id, exchange.context())))) {
-            finish(id, new Verdict.NotRun(Reason.RING_FULL, RING_FULL_RETRY_AFTER))
-                    .ifPresent(e -> e.refuse(
-                            new Verdict.NotRun(Reason.RING_FULL, RING_FULL_RETRY_AFTER), "this entry is overloaded"));
+        boolean taken = exchanges.size() <= maxOpenRequests
+                && duty.offer(new DispatchEvent.Arrived(facts(id, exchange.context())));
+        if (!taken) {
+            Verdict full = new Verdict.NotRun(Reason.RING_FULL, RING_FULL_RETRY_AFTER);
+            finish(id, full).ifPresent(e -> e.refuse(full, "this entry is overloaded"));
         }
     }
 
--- a/fakes/src/main/java/org/citrontide/fakes/http/FakeServer.java
+++ b/fakes/src/main/java/org/citrontide/fakes/http/FakeServer.java
@@ -40,6 +40,7 @@
         server = new Server(pool);
         HttpConfiguration http = new HttpConfiguration();
         http.setSendServerVersion(false);
+        http.setHeaderCacheSize(0);
         connector = new ServerConnector(server, 1, 1, new HttpConnectionFactory(http));
         connector.setHost(address.getHostString());
         connector.setPort(address.getPort());
--- a/runtime/src/main/java/org/citrontide/runtime/admin/AdminServer.java
+++ b/runtime/src/main/java/org/citrontide/runtime/admin/AdminServer.java
@@ -42,6 +42,7 @@
         server = new Server(new QueuedThreadPool(MAX_THREADS, 1));
         HttpConfiguration configuration = new HttpConfiguration();
         configuration.setSendServerVersion(false);
+        configuration.setHeaderCacheSize(0);
         ServerConnector connector = new ServerConnector(server, 1, 1, new HttpConnectionFactory(configuration));
         connector.setHost(address.getHostString());
         connector.setPort(address.getPort());
