--- a/core/src/main/java/org/citrontide/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/citrontide/core/dispatch/Dispatcher.java
@@ -193,7 +193,7 @@
             List<Upstream> accepting = directory.accepting(r.service());
             Optional<Upstream> choice = r.bucket().isPresent()
                     ? router.chooseHome(accepting, o.tried, r.bucket().get())
-                    : router.choose(accepting, o.tried);
+                    : router.choose(accepting, o.tried, r.urgency());
             if (choice.isEmpty()) {
                 finish(o, new Verdict.NotRun(Reason.NO_UPSTREAM, NO_UPSTREAM_RETRY_AFTER));
                 return;
@@ -202,7 +202,7 @@
             long attempt = nextAttempt++;
             o.beginAttempt(new OpenRequest.Attempt(attempt, id));
             byAttempt.put(attempt, o);
-            directory.sent(id);
+            directory.sent(id, r.urgency());
             Duration left = Duration.ofNanos(r.deadlineNanos() - nowNanos);
             Duration remaining = left.compareTo(DEADLINE_SLACK.multipliedBy(2)) > 0 ? left.minus(DEADLINE_SLACK) : left;
             out.add(new DispatchAction.Send(attempt, id, r.id(), remaining, o.splitter.events()));
@@ -288,7 +288,7 @@
             UpstreamId upstream = o.attempt.orElseThrow().upstream();
             o.attempt = Optional.empty();
             Verdict outcome = verdict instanceof Verdict.Completed c ? wholeOrBroken(o, c, length) : verdict;
-            directory.ended(upstream, isUpstreamFault(outcome));
+            directory.ended(upstream, o.request.urgency(), isUpstreamFault(outcome));
             o.mayHaveRun |= outcome instanceof Verdict.MayHaveRun;
             settle(o, outcome);
         }
@@ -344,7 +344,7 @@
             byDeadline.remove(o.request);
             o.attempt.ifPresent(a -> {
                 byAttempt.remove(a.number());
-                directory.ended(a.upstream(), false);
+                directory.ended(a.upstream(), o.request.urgency(), false);
                 out.add(new DispatchAction.Cancel(a.number(), a.upstream()));
             });
             o.attempt = Optional.empty();
--- a/core/src/main/java/org/citrontide/core/gate/SidecarGate.java
+++ b/core/src/main/java/org/citrontide/core/gate/SidecarGate.java
@@ -12,6 +12,7 @@
 import org.citrontide.core.claim.ClaimLedger;
 import org.citrontide.core.membership.SidecarReport;
 import org.citrontide.core.publication.ServiceFile;
+import org.citrontide.core.publication.Urgency;
 import org.citrontide.core.queue.QueueShares;
 import org.citrontide.core.queue.SidecarQueue;
 import org.citrontide.core.queue.Waiting;
@@ -25,7 +26,7 @@
  *
  * <ul>
  *   <li>At most {@link ServiceFile.Limits#slots()} attempts hold a slot; an attempt holds one from the moment it leaves
- *       the queue until its end.
+ *       the queue until its end. Attempts of lower classes leave {@link ServiceFile.Limits#liveSlots()} to live ones.
  *   <li>Every attempt that arrived ends in exactly one {@link GateAction.End} or {@link GateAction.Replay}.
  *   <li>An attempt that ends in {@link Verdict.NotRun} was never started, or its call never left.
  *   <li>A call that must not be repeated and has a key starts only under a claim; it goes on after its caller has
@@ -42,6 +43,7 @@
     private static final double NANOS_PER_MILLI = 1e6;
 
     private final ClaimLedger ledger;
+    private final LiveDemand liveDemand = new LiveDemand();
     private final Map<Long, GateRequest> waiting = new HashMap<>();
     private final Map<Long, Slot> slots = new HashMap<>();
     private Optional<ServiceFile> file = Optional.empty();
@@ -90,7 +92,7 @@
      */
     public SidecarReport report() {
         int count = queue.map(SidecarQueue::size).orElse(0);
-        return new SidecarReport(file.isPresent() && !draining, slots.size(), count, (int) waitMillis(), maxSlots());
+        return new SidecarReport(file.isPresent() && !draining, slots.size(), count, (int) waitMillis(), maxSlots(), liveAhead());
     }
 
     /**
@@ -110,6 +112,16 @@
         queue.ifPresentOrElse(q -> q.configure(shares), () -> queue = Optional.of(new SidecarQueue(shares)));
     }
 
+    private int liveRunning() {
+        return (int) slots.values().stream()
+                .filter(s -> s.request.waiting().urgency() == Urgency.LIVE)
+                .count();
+    }
+
+    private int liveAhead() {
+        return liveRunning() + queue.map(q -> q.size(Urgency.LIVE)).orElse(0);
+    }
+
     private int maxSlots() {
         return file.map(f -> f.limits().slots()).orElse(0);
     }
@@ -164,6 +176,9 @@
                 return;
             }
             waiting.put(r.id(), r);
+            if (r.waiting().urgency() == Urgency.LIVE) {
+                liveDemand.arrived(liveAhead() + 1, nowNanos);
+            }
             queue.get().offer(r.waiting()).ifPresent(victim -> {
                 waiting.remove(victim.id());
                 refuse(victim.id(), Reason.OVERLOADED, retryAfter());
@@ -278,7 +293,7 @@
 
         private void fillSlots() {
             while (queue.isPresent() && slots.size() < maxSlots()) {
-                Optional<Waiting> next = queue.get().take();
+                Optional<Waiting> next = takeNext();
                 if (next.isEmpty()) {
                     return;
                 }
@@ -286,6 +301,17 @@
             }
         }
 
+        /** Lower classes leave slots free, so that a live request need not wait for one of theirs to end. */
+        private Optional<Waiting> takeNext() {
+            int live = liveRunning();
+            int lower = slots.size() - live;
+            SidecarQueue q = queue.orElseThrow();
+            if (lower >= maxSlots() - file.orElseThrow().limits().liveSlots()) {
+                return q.takeLive();
+            }
+            return lower < maxSlots() - liveDemand.reserve() ? q.take() : q.takeLiveOrDue();
+        }
+
         private void begin(GateRequest r) {
             if (nowNanos >= r.waiting().deadlineNanos()) {
                 refuse(r.id(), Reason.DEADLINE, Duration.ZERO);
--- a/core/src/main/java/org/citrontide/core/membership/SidecarReport.java
+++ b/core/src/main/java/org/citrontide/core/membership/SidecarReport.java
@@ -8,5 +8,6 @@
  * @param waiting requests waiting
  * @param waitMillis estimated wait of a new request in ms
  * @param slots requests that run at once
+ * @param liveAhead live requests running and waiting
  */
-public record SidecarReport(boolean accepting, int running, int waiting, int waitMillis, int slots) {}
+public record SidecarReport(boolean accepting, int running, int waiting, int waitMillis, int slots, int liveAhead) {}
--- a/core/src/main/java/org/citrontide/core/membership/Upstream.java
+++ b/core/src/main/java/org/citrontide/core/membership/Upstream.java
@@ -1,6 +1,7 @@
 package org.citrontide.core.membership;
 
 import java.util.Optional;
+import org.citrontide.core.publication.Urgency;
 
 /**
  * What one entry knows of one upstream.
@@ -11,12 +12,13 @@
 public final class Upstream {
     private static final double FAILURE_WEIGHT = 0.2;
     private static final double LEAST_HEALTH = 0.05;
+    private static final SidecarReport NO_REPORT = new SidecarReport(false, 0, 0, 0, 1, 0);
 
     private final ListedVm vm;
     private boolean linked;
     private Optional<SidecarReport> report = Optional.empty();
-    private int sentSinceReport;
-    private int outstanding;
+    private final Sent sentAll = new Sent();
+    private final Sent sentLive = new Sent();
     private double health = 1;
 
     Upstream(ListedVm vm) {
@@ -42,13 +44,17 @@
     }
 
     /**
-     * Estimates the cost of one more request in units of a slot's work.
+     * Estimates the load that a new request would meet. A live request goes before all others, so only live ones count.
      *
-     * @return work waiting or sent here per slot, divided by the health of the upstream
+     * @param urgency class of the new request
+     * @return requests ahead and the new one per slot, divided by the health of the upstream
      */
-    public double load() {
-        SidecarReport r = report.orElse(new SidecarReport(false, 0, 0, 0, 1));
-        double ahead = Math.max(outstanding, r.running() + r.waiting() + sentSinceReport);
+    public double load(Urgency urgency) {
+        SidecarReport r = report.orElse(NO_REPORT);
+        boolean live = urgency == Urgency.LIVE;
+        int reported = live ? r.liveAhead() : r.running() + r.waiting();
+        Sent s = live ? sentLive : sentAll;
+        double ahead = Math.max(s.outstanding, reported + s.sinceReport);
         return (ahead + 1) / Math.max(1, r.slots()) / health;
     }
 
@@ -58,7 +64,7 @@
      * @return count
      */
     public int outstanding() {
-        return outstanding;
+        return sentAll.outstanding;
     }
 
     /**
@@ -77,7 +83,7 @@
     void linkDown() {
         linked = false;
         report = Optional.empty();
-        sentSinceReport = 0;
+        forgetSent();
     }
 
     boolean isLinked() {
@@ -86,17 +92,38 @@
 
     void reported(SidecarReport r) {
         report = Optional.of(r);
-        sentSinceReport = 0;
+        forgetSent();
     }
 
-    void sent() {
-        sentSinceReport++;
-        outstanding++;
+    void sent(Urgency urgency) {
+        sentAll.add(1);
+        if (urgency == Urgency.LIVE) {
+            sentLive.add(1);
+        }
     }
 
-    void ended(boolean failed) {
-        outstanding--;
+    void ended(Urgency urgency, boolean failed) {
+        sentAll.outstanding--;
+        if (urgency == Urgency.LIVE) {
+            sentLive.outstanding--;
+        }
         double sample = failed ? LEAST_HEALTH : 1;
         health = Math.max(LEAST_HEALTH, health + FAILURE_WEIGHT * (sample - health));
     }
+
+    private void forgetSent() {
+        sentAll.sinceReport = 0;
+        sentLive.sinceReport = 0;
+    }
+
+    /** Requests that this entry sent. */
+    private static final class Sent {
+        private int sinceReport;
+        private int outstanding;
+
+        private void add(int count) {
+            sinceReport += count;
+            outstanding += count;
+        }
+    }
 }
--- a/core/src/main/java/org/citrontide/core/membership/UpstreamDirectory.java
+++ b/core/src/main/java/org/citrontide/core/membership/UpstreamDirectory.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import org.citrontide.core.publication.Urgency;
 
 /**
  * The upstreams that one entry knows, from the platform's list, the sidecars' reports and the state of the links.
@@ -78,19 +79,21 @@
      * Counts an attempt sent.
      *
      * @param id the upstream
+     * @param urgency class of the request
      */
-    public void sent(UpstreamId id) {
-        find(id).ifPresent(Upstream::sent);
+    public void sent(UpstreamId id, Urgency urgency) {
+        find(id).ifPresent(u -> u.sent(urgency));
     }
 
     /**
      * Counts an attempt ended.
      *
      * @param id the upstream
+     * @param urgency class of the request
      * @param failed whether the upstream is to blame
      */
-    public void ended(UpstreamId id, boolean failed) {
-        find(id).ifPresent(u -> u.ended(failed));
+    public void ended(UpstreamId id, Urgency urgency, boolean failed) {
+        find(id).ifPresent(u -> u.ended(urgency, failed));
     }
 
     /**
--- a/core/src/main/java/org/citrontide/core/publication/FileCheck.java
+++ b/core/src/main/java/org/citrontide/core/publication/FileCheck.java
@@ -46,6 +46,7 @@
     private static final int DEFAULT_QUEUE_LENGTH = 200;
     private static final int MAX_SLOTS = 10_000;
     private static final int DEFAULT_SLOTS = 8;
+    private static final int LIVE_PART = 4;
     private static final int DEFAULT_RETRY_PERCENT = 10;
     private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
     private static final int DEFAULT_BODY_BYTES = 1024 * 1024;
@@ -168,10 +169,12 @@
                     "at least the timeout and twice the clock margin of " + ClaimLedger.CLOCK_MARGIN.toSeconds()
                             + " s");
         }
+        int slots = s.integer("slots", 1, MAX_SLOTS, DEFAULT_SLOTS);
         return new ServiceFile.Limits(
                 timeout,
                 s.integer("queue_length", 1, MAX_QUEUE_LENGTH, DEFAULT_QUEUE_LENGTH),
-                s.integer("slots", 1, MAX_SLOTS, DEFAULT_SLOTS),
+                slots,
+                s.integer("live_slots", 0, slots - 1, slots / LIVE_PART),
                 s.integer("retry_percent", 0, FULL_PERCENT, DEFAULT_RETRY_PERCENT),
                 s.integer("max_body_bytes", 1, MAX_BODY_BYTES, DEFAULT_BODY_BYTES),
                 window);
--- a/core/src/main/java/org/citrontide/core/publication/ServiceFile.java
+++ b/core/src/main/java/org/citrontide/core/publication/ServiceFile.java
@@ -39,12 +39,19 @@
      * @param timeout longest time for one request
      * @param queueLength most requests waiting at one sidecar
      * @param slots most requests running at one upstream
+     * @param liveSlots slots of these that only live requests take
      * @param retryPercent retries allowed per hundred first attempts
      * @param maxBodyBytes longest request body in bytes
      * @param claimWindow how long an idempotency key is remembered
      */
     public record Limits(
-            Duration timeout, int queueLength, int slots, int retryPercent, int maxBodyBytes, Duration claimWindow) {}
+            Duration timeout,
+            int queueLength,
+            int slots,
+            int liveSlots,
+            int retryPercent,
+            int maxBodyBytes,
+            Duration claimWindow) {}
 
     /** Copies the collections. */
     public ServiceFile {
--- a/core/src/main/java/org/citrontide/core/queue/SidecarQueue.java
+++ b/core/src/main/java/org/citrontide/core/queue/SidecarQueue.java
@@ -85,15 +85,30 @@
      * @return the request, or empty if none waits
      */
     public Optional<Waiting> take() {
+        return byId.isEmpty() ? Optional.empty() : take(classToServe());
+    }
+
+    /**
+     * Takes the request that runs next, while lower classes may start only what their guaranteed share is due.
+     *
+     * @return the request, or empty if none of these waits
+     */
+    public Optional<Waiting> takeLiveOrDue() {
         if (byId.isEmpty()) {
             return Optional.empty();
         }
         Urgency u = classToServe();
-        ClassQueue q = classes.get(u);
-        Waiting w = q.serveNext(shares);
-        forget(w);
-        chargeGuarantees(u, w.cost());
-        return Optional.of(w);
+        boolean allowed = u == Urgency.LIVE || isDue(classes.get(u));
+        return allowed ? take(u) : Optional.empty();
+    }
+
+    /**
+     * Takes the live request that runs next, while lower classes must not start.
+     *
+     * @return the request, or empty if no live one waits
+     */
+    public Optional<Waiting> takeLive() {
+        return size(Urgency.LIVE) == 0 ? Optional.empty() : take(Urgency.LIVE);
     }
 
     /**
@@ -178,6 +193,13 @@
                 : Optional.of(byDeadline.first().deadlineNanos());
     }
 
+    private Optional<Waiting> take(Urgency u) {
+        Waiting w = classes.get(u).serveNext(shares);
+        forget(w);
+        chargeGuarantees(u, w.cost());
+        return Optional.of(w);
+    }
+
     private void insert(Waiting w) {
         classes.get(w.urgency()).add(w, shares);
         byId.put(w.id(), w);
@@ -220,13 +242,17 @@
             }
             if (first == null) {
                 first = u;
-            } else if (q.guaranteeCredit >= q.nextCost() * FULL_PERCENT) {
+            } else if (isDue(q)) {
                 return u;
             }
         }
         return first;
     }
 
+    private static boolean isDue(ClassQueue q) {
+        return q.guaranteeCredit >= (long) q.nextCost() * FULL_PERCENT;
+    }
+
     /** Credit is kept in hundredths of the cost unit, so that percentages stay exact. */
     private void chargeGuarantees(Urgency served, int cost) {
         for (Urgency u : Urgency.values()) {
--- a/core/src/main/java/org/citrontide/core/routing/Router.java
+++ b/core/src/main/java/org/citrontide/core/routing/Router.java
@@ -10,6 +10,7 @@
 import org.apache.commons.codec.digest.MurmurHash3;
 import org.citrontide.core.membership.Upstream;
 import org.citrontide.core.membership.UpstreamId;
+import org.citrontide.core.publication.Urgency;
 
 /**
  * Chooses the upstream of one attempt.
@@ -43,23 +44,24 @@
      *
      * @param accepting upstreams that take work
      * @param tried upstreams that already had an attempt of this request
+     * @param urgency class of the request
      * @return the choice, or empty if there is no upstream
      */
-    public Optional<Upstream> choose(List<Upstream> accepting, Set<UpstreamId> tried) {
+    public Optional<Upstream> choose(List<Upstream> accepting, Set<UpstreamId> tried, Urgency urgency) {
         List<Upstream> fresh = untried(accepting, tried);
         List<Upstream> own =
                 fresh.stream().filter(u -> u.vm().zone().equals(zone)).toList();
         List<Upstream> others =
                 fresh.stream().filter(u -> !u.vm().zone().equals(zone)).toList();
-        Optional<Upstream> near = betterOfTwo(own);
+        Optional<Upstream> near = betterOfTwo(own, urgency);
         if (near.isEmpty()) {
-            return betterOfTwo(others);
+            return betterOfTwo(others, urgency);
         }
-        if (near.get().load() <= SPILL_LOAD) {
+        if (near.get().load(urgency) <= SPILL_LOAD) {
             return near;
         }
-        return betterOfTwo(others)
-                .filter(far -> far.load() * SPILL_GAIN <= near.get().load())
+        return betterOfTwo(others, urgency)
+                .filter(far -> far.load(urgency) * SPILL_GAIN <= near.get().load(urgency))
                 .or(() -> near);
     }
 
@@ -76,13 +78,13 @@
                 .max(Comparator.comparingLong(u -> rendezvousScore(u.vm().id(), bucket)));
     }
 
-    private Optional<Upstream> betterOfTwo(List<Upstream> list) {
+    private Optional<Upstream> betterOfTwo(List<Upstream> list, Urgency urgency) {
         if (list.isEmpty()) {
             return Optional.empty();
         }
         Upstream a = list.get(random.nextInt(list.size()));
         Upstream b = list.get(random.nextInt(list.size()));
-        return Optional.of(a.load() <= b.load() ? a : b);
+        return Optional.of(a.load(urgency) <= b.load(urgency) ? a : b);
     }
 
     private static List<Upstream> untried(List<Upstream> accepting, Set<UpstreamId> tried) {
--- a/core/src/test/java/org/citrontide/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/citrontide/core/dispatch/DispatcherTest.java
@@ -44,7 +44,7 @@
         on(new DispatchEvent.Listed(List.of(vm(A), vm(B))));
         for (UpstreamId id : List.of(A, B)) {
             on(new DispatchEvent.LinkUp(id));
-            on(new DispatchEvent.Report(id, new SidecarReport(true, 0, 0, 0, 4)));
+            on(new DispatchEvent.Report(id, new SidecarReport(true, 0, 0, 0, 4, 0)));
         }
     }
 
@@ -82,7 +82,7 @@
 
     @Test
     void drainingUpstreamGetsNoNewWork() {
-        on(new DispatchEvent.Report(A, new SidecarReport(false, 0, 0, 0, 4)));
+        on(new DispatchEvent.Report(A, new SidecarReport(false, 0, 0, 0, 4, 0)));
         for (int i = 1; i <= 20; i++) {
             assertEquals(B, arrive(i, true).upstream());
         }
--- a/core/src/test/java/org/citrontide/core/faults/EventLoop.java
+++ b/core/src/test/java/org/citrontide/core/faults/EventLoop.java
@@ -7,7 +7,7 @@
 import java.util.SplittableRandom;
 
 /** Virtual time and the messages on their way. Channels keep their order; everything else may overtake. */
-final class EventLoop {
+public final class EventLoop {
     static final long MILLI = 1_000_000L;
     static final long SECOND = 1000 * MILLI;
 
--- /dev/null
+++ b/dist/src/test/java/org/citrontide/dist/ModuleArrowsTest.java
@@ -0,0 +1,57 @@
+package org.citrontide.dist;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+/** Checks that modules depend one way only, and that decisions do no I/O and read no clock. */
+final class ModuleArrowsTest {
+    private static final String BASE = "org.citrontide.";
+    private static final JavaClasses CLASSES =
+            new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("org.citrontide");
+
+    @Test
+    void arrowsGoOneWay() {
+        forbid("core", "wire", "runtime", "platform", "entry", "sidecar", "cli", "fakes");
+        forbid("wire", "runtime", "platform", "entry", "sidecar", "cli", "fakes");
+        forbid("runtime", "platform", "entry", "sidecar", "cli", "fakes");
+        forbid("platform", "entry", "sidecar", "cli", "fakes");
+        forbid("entry", "sidecar", "cli", "fakes");
+        forbid("sidecar", "entry", "cli", "fakes");
+        forbid("cli", "fakes");
+        forbid("fakes", "core.dispatch", "core.gate", "platform", "entry", "sidecar", "cli");
+    }
+
+    @Test
+    void decisionsDoNoInputOrOutputAndReadNoClock() {
+        noClasses()
+                .that()
+                .resideInAPackage(BASE + "core..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage("java.net..", "java.nio.channels..", "java.nio.file..", "java.util.concurrent..")
+                .orShould()
+                .callMethod(System.class, "nanoTime")
+                .orShould()
+                .callMethod(System.class, "currentTimeMillis")
+                .orShould()
+                .dependOnClassesThat()
+                .areAssignableTo(Thread.class)
+                .check(CLASSES);
+    }
+
+    private static void forbid(String from, String... to) {
+        for (String target : to) {
+            noClasses()
+                    .that()
+                    .resideInAPackage(BASE + from + "..")
+                    .should()
+                    .dependOnClassesThat()
+                    .resideInAPackage(BASE + target + "..")
+                    .check(CLASSES);
+        }
+    }
+}
--- a/sidecar/src/main/java/org/citrontide/sidecar/gate/GateShell.java
+++ b/sidecar/src/main/java/org/citrontide/sidecar/gate/GateShell.java
@@ -64,7 +64,7 @@
     private final Map<Long, Link> links = new HashMap<>();
     private final Map<Long, AttemptSequence> sequences = new HashMap<>();
     private final CountDownLatch drained = new CountDownLatch(1);
-    private SidecarReport lastReport = new SidecarReport(false, 0, 0, 0, 0);
+    private SidecarReport lastReport = new SidecarReport(false, 0, 0, 0, 0, 0);
     private long lastReportNanos;
     private long nextTickNanos;
     private long nextNumber = 1;
@@ -307,6 +307,7 @@
                 .setWaiting(r.waiting())
                 .setWaitMs(r.waitMillis())
                 .setSlots(r.slots())
+                .setLiveAhead(r.liveAhead())
                 .build();
     }
 
