Bound the links of an entry, quiet the heartbeats, and mend what stood twice

Refusals are logged at most 50 times a second. Two nearly equal commands became one DaemonCommand, and three ways to make a store client one.

Ruled out: slower heartbeats, which would delay finding frozen peers.

--- a/cli/src/main/java/org/citrontide/cli/Citrontide.java
+++ b/cli/src/main/java/org/citrontide/cli/Citrontide.java
@@ -16,8 +16,8 @@
 public final class Citrontide {
     private static final String VERSION = "citrontide 0.1.0";
     private static final List<Command> COMMANDS = List.of(
-            new EntryCommand(),
-            new SidecarCommand(),
+            DaemonCommand.ENTRY,
+            DaemonCommand.SIDECAR,
             new CheckCommand(),
             new PublishCommand(),
             new StatusCommand(),
@@ -40,7 +40,11 @@
 
     private static boolean isDaemon(String[] args) {
         boolean isHelp = Arrays.asList(args).contains("--help");
-        return !isHelp && args.length > 0 && (args[0].equals("entry") || args[0].equals("sidecar"));
+        return !isHelp && args.length > 0 && COMMANDS.stream().anyMatch(c -> isDaemon(c, args[0]));
+    }
+
+    private static boolean isDaemon(Command c, String name) {
+        return c instanceof DaemonCommand && c.name().equals(name);
     }
 
     private static ExitCode run(String[] args) {
--- a/cli/src/main/java/org/citrontide/cli/Command.java
+++ b/cli/src/main/java/org/citrontide/cli/Command.java
@@ -6,8 +6,7 @@
 import org.apache.commons.cli.Options;
 
 /** One command. Implementations are stateless. */
-sealed interface Command
-        permits CheckCommand, EntryCommand, LoadCommand, PublishCommand, SidecarCommand, StatusCommand {
+sealed interface Command permits CheckCommand, DaemonCommand, LoadCommand, PublishCommand, StatusCommand {
 
     /** Returns the word that names the command. */
     String name();
--- a/cli/src/main/java/org/citrontide/cli/Stores.java
+++ b/cli/src/main/java/org/citrontide/cli/Stores.java
@@ -7,7 +7,6 @@
 
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
-import org.citrontide.platform.store.HttpClients;
 import org.citrontide.platform.store.StoreClient;
 import org.citrontide.runtime.settings.ProcessSettings;
 
@@ -15,9 +14,6 @@
 final class Stores {
     static final String STORE = "store";
 
-    private static final int THREADS = 4;
-    private static final int CONNECTIONS = 16;
-
     private Stores() {}
 
     static Options options() {
@@ -25,7 +21,7 @@
     }
 
     static StoreClient connect(CommandLine line) throws IOException, Command.UsageException {
-        return new StoreClient(HttpClients.start("store-client", THREADS, CONNECTIONS), addresses(line, STORE));
+        return StoreClient.connect(addresses(line, STORE));
     }
 
     static List<InetSocketAddress> addresses(CommandLine line, String option) throws Command.UsageException {
--- a/core/src/main/java/org/citrontide/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/citrontide/core/dispatch/Dispatcher.java
@@ -15,6 +15,7 @@
 import org.citrontide.core.membership.Upstream;
 import org.citrontide.core.membership.UpstreamDirectory;
 import org.citrontide.core.membership.UpstreamId;
+import org.citrontide.core.membership.UpstreamSubset;
 import org.citrontide.core.publication.Configuration;
 import org.citrontide.core.publication.ServiceFile;
 import org.citrontide.core.retry.RetryBudget;
@@ -46,7 +47,7 @@
     private static final int MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
     private static final String EVENT_STREAM = "text/event-stream";
 
-    private final UpstreamDirectory directory = new UpstreamDirectory();
+    private final UpstreamDirectory directory;
     private final AdmissionController admission = new AdmissionController();
     private final Map<String, RetryBudget> budgets = new HashMap<>();
     private final Map<Long, OpenRequest> open = new HashMap<>();
@@ -63,9 +64,11 @@
      * Makes a dispatcher that knows no upstream.
      *
      * @param zone the entry's availability zone
+     * @param subset chooses the upstreams that the entry keeps links to
      * @param random source of routing choices
      */
-    public Dispatcher(String zone, RandomGenerator random) {
+    public Dispatcher(String zone, UpstreamSubset subset, RandomGenerator random) {
+        this.directory = new UpstreamDirectory(subset);
         this.router = new Router(zone, random);
     }
 
--- a/core/src/main/java/org/citrontide/core/membership/UpstreamDirectory.java
+++ b/core/src/main/java/org/citrontide/core/membership/UpstreamDirectory.java
@@ -19,14 +19,25 @@
  */
 public final class UpstreamDirectory {
     private final Map<UpstreamId, Upstream> upstreams = new TreeMap<>();
+    private final UpstreamSubset subset;
+
+    /**
+     * Makes an empty directory.
+     *
+     * @param subset chooses the upstreams that this entry keeps links to
+     */
+    public UpstreamDirectory(UpstreamSubset subset) {
+        this.subset = subset;
+    }
 
     /**
      * Takes a new copy of the platform's list.
      *
-     * @param list all VMs with a sidecar
+     * @param all all VMs with a sidecar
      * @return the changes of links that follow
      */
-    public LinkChanges listed(Collection<ListedVm> list) {
+    public LinkChanges listed(Collection<ListedVm> all) {
+        List<ListedVm> list = subset.choose(all);
         List<UpstreamId> dial = new ArrayList<>();
         List<UpstreamId> drop = new ArrayList<>();
         Set<UpstreamId> present = new HashSet<>();
--- a/core/src/test/java/org/citrontide/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/citrontide/core/dispatch/DispatcherTest.java
@@ -10,6 +10,7 @@
 import org.citrontide.core.membership.ListedVm;
 import org.citrontide.core.membership.SidecarReport;
 import org.citrontide.core.membership.UpstreamId;
+import org.citrontide.core.membership.UpstreamSubset;
 import org.citrontide.core.publication.Configuration;
 import org.citrontide.core.publication.Urgency;
 import org.citrontide.core.verdict.Reason;
@@ -33,7 +34,8 @@
     private static final UpstreamId B = new UpstreamId("10.0.0.2", 1);
     private static final Verdict OVERLOADED = new Verdict.NotRun(Reason.OVERLOADED, Duration.ofSeconds(2));
 
-    private final Dispatcher dispatcher = new Dispatcher("mill-brook", new SplittableRandom(1));
+    private final Dispatcher dispatcher =
+            new Dispatcher("mill-brook", new UpstreamSubset("entry", "mill-brook", 100_000), new SplittableRandom(1));
 
     @BeforeEach
     void connect() {
--- a/core/src/test/java/org/citrontide/core/faults/FakeEntry.java
+++ b/core/src/test/java/org/citrontide/core/faults/FakeEntry.java
@@ -13,6 +13,7 @@
 import org.citrontide.core.dispatch.DispatchEvent;
 import org.citrontide.core.dispatch.DispatchRequest;
 import org.citrontide.core.dispatch.Dispatcher;
+import org.citrontide.core.membership.UpstreamSubset;
 import org.citrontide.core.publication.Urgency;
 import org.citrontide.core.verdict.Verdict;
 
@@ -60,7 +61,10 @@
         starts++;
         asks.clear();
         streams.clear();
-        dispatcher = new Dispatcher("mill-brook", new SplittableRandom(world.loop.random.nextLong()));
+        dispatcher = new Dispatcher(
+                "mill-brook",
+                new UpstreamSubset("entry", "mill-brook", 100_000),
+                new SplittableRandom(world.loop.random.nextLong()));
         step(new DispatchEvent.Configured(world.configuration));
         step(new DispatchEvent.Listed(world.listed()));
         world.sidecars.forEach(s -> world.connect(this, s));
--- a/core/src/test/java/org/citrontide/core/faults/PolicyWorld.java
+++ b/core/src/test/java/org/citrontide/core/faults/PolicyWorld.java
@@ -17,7 +17,9 @@
 import org.citrontide.core.gate.GateRequest;
 import org.citrontide.core.gate.SidecarGate;
 import org.citrontide.core.membership.ListedVm;
+import org.citrontide.core.membership.SidecarReport;
 import org.citrontide.core.membership.UpstreamId;
+import org.citrontide.core.membership.UpstreamSubset;
 import org.citrontide.core.publication.Configuration;
 import org.citrontide.core.publication.Urgency;
 import org.citrontide.core.queue.Waiting;
@@ -98,7 +100,8 @@
             gates.get(i).on(new GateEvent.Configured(c.services().get("roster")), 0, 0);
         }
         for (int e = 0; e < 2; e++) {
-            Dispatcher d = new Dispatcher("z", new SplittableRandom(seed + e));
+            Dispatcher d =
+                    new Dispatcher("z", new UpstreamSubset("entry", "z", 100_000), new SplittableRandom(seed + e));
             entries.add(d);
             d.on(new DispatchEvent.Configured(c), 0);
             d.on(new DispatchEvent.Listed(list), 0);
@@ -155,6 +158,9 @@
     private void tick() {
         for (int i = 0; i < gates.size(); i++) {
             gate(i, new GateEvent.Tick());
+            if (loop.now() % EventLoop.SECOND != 0) {
+                continue;
+            }
             for (int e = 0; e < entries.size(); e++) {
                 entry(e, new DispatchEvent.Report(id(i), gates.get(i).report()));
             }
@@ -208,12 +214,14 @@
                     long attempt = attemptOf.remove(end.id());
                     int e = entryOf.remove(end.id());
                     GateRequest r = atGate.remove(end.id());
+                    SidecarReport load = gates.get(i).report();
                     if (end.verdict() instanceof Verdict.Completed) {
                         served(e, attempt, r);
                     }
                     loop.after(NET, () -> {
                         entry(e, new DispatchEvent.Head(attempt, 200, ""));
                         entry(e, new DispatchEvent.Ended(attempt, end.verdict(), 0));
+                        entry(e, new DispatchEvent.Report(id(i), load));
                     });
                 }
                 default -> {
--- a/dist/src/test/java/org/citrontide/dist/SlopeBench.java
+++ b/dist/src/test/java/org/citrontide/dist/SlopeBench.java
@@ -26,6 +26,7 @@
 import org.citrontide.core.membership.ListedVm;
 import org.citrontide.core.membership.SidecarReport;
 import org.citrontide.core.membership.UpstreamId;
+import org.citrontide.core.membership.UpstreamSubset;
 import org.citrontide.core.publication.Configuration;
 import org.citrontide.core.publication.Head;
 import org.citrontide.core.publication.Urgency;
@@ -121,7 +122,7 @@
     }
 
     private static Dispatcher dispatcherOf(int upstreams) {
-        Dispatcher d = new Dispatcher("z", new SplittableRandom(1));
+        Dispatcher d = new Dispatcher("z", new UpstreamSubset("entry", "z", 100_000), new SplittableRandom(1));
         Map<String, Configuration.FileText> files = Map.of("s.toml", new Configuration.FileText(1, FILE));
         d.on(new DispatchEvent.Configured(Configuration.check(1, files).value().orElseThrow()), 0);
         List<ListedVm> list = new ArrayList<>();
--- a/entry/src/main/java/org/citrontide/entry/daemon/EntryModule.java
+++ b/entry/src/main/java/org/citrontide/entry/daemon/EntryModule.java
@@ -11,13 +11,13 @@
 import dagger.Provides;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.citrontide.core.dispatch.DispatchEvent;
+import org.citrontide.core.membership.UpstreamSubset;
 import org.citrontide.entry.dispatch.DispatchShell;
 import org.citrontide.entry.dispatch.EntryMetrics;
 import org.citrontide.entry.http.EntryHandler;
 import org.citrontide.platform.configuration.ConfigurationService;
 import org.citrontide.platform.configuration.StoredConfiguration;
 import org.citrontide.platform.links.ProcessLinks;
-import org.citrontide.platform.store.HttpClients;
 import org.citrontide.platform.store.StoreClient;
 import org.citrontide.runtime.duty.Clock;
 import org.citrontide.wire.generated.ProcessIdentity;
@@ -26,8 +26,6 @@
 /** Builds the parts of an entry. Used once, at the start of the process. */
 @Module
 final class EntryModule {
-    private static final int STORE_THREADS = 4;
-    private static final int STORE_CONNECTIONS = 8;
     private static final int LINK_THREADS = 2;
 
     private final EntrySettings settings;
@@ -61,9 +59,7 @@
     @Singleton
     StoreClient store() {
         try {
-            return new StoreClient(
-                    HttpClients.start("store-client", STORE_THREADS, STORE_CONNECTIONS),
-                    settings.process().stores());
+            return StoreClient.connect(settings.process().stores());
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -72,7 +68,9 @@
     @Provides
     @Singleton
     DispatchShell dispatch(RandomGenerator r, EntryMetrics metrics) {
-        return new DispatchShell(settings.process().zone(), settings.maxOpenRequests(), r, Clock.SYSTEM, metrics);
+        String zone = settings.process().zone();
+        UpstreamSubset subset = new UpstreamSubset(settings.process().vm(), zone, settings.maxLinks());
+        return new DispatchShell(zone, subset, settings.maxOpenRequests(), r, Clock.SYSTEM, metrics);
     }
 
     @Provides
--- a/entry/src/main/java/org/citrontide/entry/daemon/EntrySettings.java
+++ b/entry/src/main/java/org/citrontide/entry/daemon/EntrySettings.java
@@ -17,6 +17,7 @@
  * @param httpThreads most threads for callers' connections
  * @param maxConnections most connections of callers; more wait to be accepted
  * @param maxOpenRequests most requests without a final answer; more are refused at once
+ * @param maxLinks links to sidecars wanted in all
  */
 public record EntrySettings(
         ProcessSettings process,
@@ -25,7 +26,8 @@
         int maxTeamLabels,
         int httpThreads,
         int maxConnections,
-        int maxOpenRequests) {
+        int maxOpenRequests,
+        int maxLinks) {
     private static final int MAX_LABELS = 1000;
     private static final int DEFAULT_LABELS = 300;
     private static final int LEAST_THREADS = 4;
@@ -34,6 +36,8 @@
     private static final int MAX_CONNECTIONS = 100_000;
     private static final int DEFAULT_CONNECTIONS = 4000;
     private static final int DEFAULT_OPEN_REQUESTS = 2000;
+    private static final int MAX_LINKS = 10_000;
+    private static final int DEFAULT_LINKS = 64;
 
     /** Copies the list. */
     public EntrySettings {
@@ -56,7 +60,8 @@
         int threads = root.integer("http_threads", LEAST_THREADS, MAX_THREADS, DEFAULT_THREADS);
         int connections = root.integer("max_connections", 1, MAX_CONNECTIONS, DEFAULT_CONNECTIONS);
         int open = root.integer("max_open_requests", 1, MAX_CONNECTIONS, DEFAULT_OPEN_REQUESTS);
+        int links = root.integer("max_links", 1, MAX_LINKS, DEFAULT_LINKS);
         List<String> used = zones.isEmpty() ? List.of(process.zone()) : zones;
-        return root.finish(() -> new EntrySettings(process, caller, used, labels, threads, connections, open));
+        return root.finish(() -> new EntrySettings(process, caller, used, labels, threads, connections, open, links));
     }
 }
--- a/entry/src/main/java/org/citrontide/entry/dispatch/DispatchShell.java
+++ b/entry/src/main/java/org/citrontide/entry/dispatch/DispatchShell.java
@@ -19,6 +19,7 @@
 import org.citrontide.core.dispatch.Dispatcher;
 import org.citrontide.core.membership.SidecarReport;
 import org.citrontide.core.membership.UpstreamId;
+import org.citrontide.core.membership.UpstreamSubset;
 import org.citrontide.core.publication.ServiceFile;
 import org.citrontide.core.verdict.Reason;
 import org.citrontide.core.verdict.Verdict;
@@ -29,6 +30,7 @@
 import org.citrontide.runtime.duty.Clock;
 import org.citrontide.runtime.duty.Duty;
 import org.citrontide.runtime.log.EventLog;
+import org.citrontide.runtime.log.LogBudget;
 import org.citrontide.wire.codec.VerdictCodec;
 import org.citrontide.wire.generated.AnswerEnd;
 import org.citrontide.wire.generated.Attempt;
@@ -48,6 +50,7 @@
 public final class DispatchShell implements EntryHandler.ExchangeSink, ProcessLinks.RoleLinks, AutoCloseable {
     private static final EventLog LOG = EventLog.of(DispatchShell.class);
     private static final int RING = 16_384;
+    private static final int LOG_LINES_PER_SECOND = 50;
     private static final int WINDOW_BYTES = 256 * 1024;
     private static final Duration RING_FULL_RETRY_AFTER = Duration.ofSeconds(1);
     private static final long IDLE_WAKE_NANOS = Duration.ofSeconds(1).toNanos();
@@ -61,6 +64,7 @@
     private final Map<UpstreamId, LinkEndpoint.Dialled> dialled = new HashMap<>();
     private final Map<UpstreamId, Link> links = new ConcurrentHashMap<>();
     private final Map<UpstreamId, SidecarReport> reports = new ConcurrentHashMap<>();
+    private final LogBudget logBudget = new LogBudget(LOG_LINES_PER_SECOND);
     private final AtomicLong nextRequest = new AtomicLong(1);
     private Function<InetSocketAddress, LinkEndpoint.Dialled> dial = a -> {
         throw new IllegalStateException("not started");
@@ -72,16 +76,23 @@
      * Prepares the shell; {@link #start} starts it.
      *
      * @param zone the entry's availability zone
+     * @param subset chooses the upstreams that the entry keeps links to
      * @param maxOpenRequests most requests without a final answer; more are refused at once
      * @param random source of routing choices
      * @param clock source of time
      * @param metrics the entry's metrics
      */
-    public DispatchShell(String zone, int maxOpenRequests, RandomGenerator random, Clock clock, EntryMetrics metrics) {
+    public DispatchShell(
+            String zone,
+            UpstreamSubset subset,
+            int maxOpenRequests,
+            RandomGenerator random,
+            Clock clock,
+            EntryMetrics metrics) {
         this.maxOpenRequests = maxOpenRequests;
         this.clock = clock;
         this.metrics = metrics;
-        this.dispatcher = new Dispatcher(zone, random);
+        this.dispatcher = new Dispatcher(zone, subset, random);
         this.duty = new Duty<>("dispatch", RING, new DispatchHandler());
     }
 
@@ -306,7 +317,7 @@
         Duration time = Duration.ofNanos(clock.nanos() - c.arrivedNanos());
         String service = c.service().map(ServiceFile::service).orElse("none");
         metrics.ended(service, c.team(), c.urgency(), verdict, time);
-        if (verdict instanceof Verdict.Completed) {
+        if (verdict instanceof Verdict.Completed || !logBudget.tryLine(clock.nanos())) {
             return;
         }
         LOG.info("request-ended")
@@ -317,6 +328,7 @@
                 .with("verdict", verdict.headerValue())
                 .with("reason", EntryMetrics.reason(verdict))
                 .with("ms", time.toMillis())
+                .with("suppressed", logBudget.takeSuppressed())
                 .write();
     }
 
--- a/sidecar/src/main/java/org/citrontide/sidecar/daemon/SidecarModule.java
+++ b/sidecar/src/main/java/org/citrontide/sidecar/daemon/SidecarModule.java
@@ -25,8 +25,6 @@
 /** Builds the parts of a sidecar. Used once, at the start of the process. */
 @Module
 final class SidecarModule {
-    private static final int STORE_THREADS = 4;
-    private static final int STORE_CONNECTIONS = 8;
     private static final int UPSTREAM_THREADS = 6;
     private static final int LINK_THREADS = 1;
 
@@ -50,9 +48,7 @@
     @Singleton
     StoreClient store() {
         try {
-            return new StoreClient(
-                    HttpClients.start("store-client", STORE_THREADS, STORE_CONNECTIONS),
-                    settings.process().stores());
+            return StoreClient.connect(settings.process().stores());
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/sidecar/src/main/java/org/citrontide/sidecar/gate/GateShell.java
+++ b/sidecar/src/main/java/org/citrontide/sidecar/gate/GateShell.java
@@ -29,6 +29,7 @@
 import org.citrontide.runtime.duty.Clock;
 import org.citrontide.runtime.duty.Duty;
 import org.citrontide.runtime.log.EventLog;
+import org.citrontide.runtime.log.LogBudget;
 import org.citrontide.sidecar.upstream.UpstreamCall;
 import org.citrontide.wire.codec.VerdictCodec;
 import org.citrontide.wire.generated.AnswerChunk;
@@ -47,8 +48,9 @@
 public final class GateShell implements ProcessLinks.RoleLinks, AutoCloseable {
     private static final EventLog LOG = EventLog.of(GateShell.class);
     private static final int RING = 16_384;
+    private static final int LOG_LINES_PER_SECOND = 50;
     private static final long TICK_NANOS = Duration.ofMillis(500).toNanos();
-    private static final long REPORT_GAP_NANOS = Duration.ofMillis(100).toNanos();
+    private static final long REPORT_GAP_NANOS = Duration.ofSeconds(1).toNanos();
     private static final Duration RING_FULL_RETRY_AFTER = Duration.ofSeconds(1);
 
     private final String service;
@@ -63,6 +65,7 @@
     private final Map<AttemptKey, UpstreamCall> calls = new ConcurrentHashMap<>();
     private final Map<Long, Link> links = new HashMap<>();
     private final Map<Long, AttemptSequence> sequences = new HashMap<>();
+    private final LogBudget logBudget = new LogBudget(LOG_LINES_PER_SECOND);
     private final CountDownLatch drained = new CountDownLatch(1);
     private SidecarReport lastReport = new SidecarReport(false, 0, 0, 0, 0, 0);
     private long lastReportNanos;
@@ -274,11 +277,12 @@
                 Urgency.ofOrdinal(o.attempt().getUrgency()),
                 verdict,
                 Duration.ofNanos(clock.nanos() - o.arrivedNanos()));
-        if (!(verdict instanceof Verdict.Completed)) {
+        if (!(verdict instanceof Verdict.Completed) && logBudget.tryLine(clock.nanos())) {
             LOG.info("attempt-ended")
                     .with("request", o.attempt().getRequestId())
                     .with("team", o.attempt().getTeam())
                     .with("verdict", verdict)
+                    .with("suppressed", logBudget.takeSuppressed())
                     .write();
         }
     }
