--- a/core/src/main/java/org/citrontide/core/membership/UpstreamDirectory.java
+++ b/core/src/main/java/org/citrontide/core/membership/UpstreamDirectory.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -15,10 +16,12 @@
  * The upstreams that one entry knows, from the platform's list, the sidecars' reports and the state of the links.
  *
  * <p>Invariants: an upstream that says it is draining takes no new work from here on, whatever the list says; one that
- * left the list is kept while its link is up, because the list lags. Not thread-safe: one thread owns it.
+ * left the list is kept while its link is up, because the list lags; the index by service holds what the map of all
+ * holds. Not thread-safe: one thread owns it.
  */
 public final class UpstreamDirectory {
     private final Map<UpstreamId, Upstream> upstreams = new TreeMap<>();
+    private final Map<String, List<Upstream>> byService = new HashMap<>();
     private final UpstreamSubset subset;
 
     /**
@@ -56,6 +59,12 @@
             }
             return gone;
         });
+        byService.clear();
+        upstreams
+                .values()
+                .forEach(u -> byService
+                        .computeIfAbsent(u.vm().service(), s -> new ArrayList<>())
+                        .add(u));
         return new LinkChanges(dial, drop);
     }
 
@@ -125,9 +134,13 @@
      * @return the upstreams in the order of their addresses
      */
     public List<Upstream> accepting(String service) {
-        return upstreams.values().stream()
-                .filter(u -> u.vm().service().equals(service) && u.isAccepting())
-                .toList();
+        List<Upstream> accepting = new ArrayList<>();
+        for (Upstream u : byService.getOrDefault(service, List.of())) {
+            if (u.isAccepting()) {
+                accepting.add(u);
+            }
+        }
+        return accepting;
     }
 
     /**
--- a/core/src/main/java/org/citrontide/core/routing/Router.java
+++ b/core/src/main/java/org/citrontide/core/routing/Router.java
@@ -1,6 +1,7 @@
 package org.citrontide.core.routing;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -48,11 +49,11 @@
      * @return the choice, or empty if there is no upstream
      */
     public Optional<Upstream> choose(List<Upstream> accepting, Set<UpstreamId> tried, Urgency urgency) {
-        List<Upstream> fresh = untried(accepting, tried);
-        List<Upstream> own =
-                fresh.stream().filter(u -> u.vm().zone().equals(zone)).toList();
-        List<Upstream> others =
-                fresh.stream().filter(u -> !u.vm().zone().equals(zone)).toList();
+        List<Upstream> own = new ArrayList<>();
+        List<Upstream> others = new ArrayList<>();
+        for (Upstream u : untried(accepting, tried)) {
+            (u.vm().zone().equals(zone) ? own : others).add(u);
+        }
         Optional<Upstream> near = betterOfTwo(own, urgency);
         if (near.isEmpty()) {
             return betterOfTwo(others, urgency);
@@ -88,6 +89,9 @@
     }
 
     private static List<Upstream> untried(List<Upstream> accepting, Set<UpstreamId> tried) {
+        if (tried.isEmpty()) {
+            return accepting;
+        }
         List<Upstream> fresh =
                 accepting.stream().filter(u -> !tried.contains(u.vm().id())).toList();
         return fresh.isEmpty() ? accepting : fresh;
