Prove that a broken stream over real processes is resumed or plainly broken

Cause: docs/OPEN.md listed that a break of a real stream had no end-to-end test.

Change: DeploymentTest breaks the streams of two engines after 3 events, once and then always. Seen red in scratch copies: resuming from the first event (events came twice), and ending a broken stream like a whole one (it looked whole). No fault was found.

--- a/dist/src/test/java/org/citrontide/dist/DeploymentTest.java
+++ b/dist/src/test/java/org/citrontide/dist/DeploymentTest.java
@@ -8,11 +8,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import org.citrontide.fakes.engine.FakeEngine;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -25,6 +27,7 @@
 /** Kills, freezes, cuts and stops real processes, and checks what callers and the booking service saw. */
 final class DeploymentTest {
     private static final String STORE_DOWN = "{\"down\":true}";
+    private static final String MESSAGES = "[{\"role\":\"user\",\"content\":\"When does headgate 7 open?\"}]";
     private static final String BOOKINGS = "/services/booking/bookings";
     private static final Map<String, String> TEAM = Map.of("Authorization", "Bearer " + Deployment.TOKEN);
     private static final String STORE_WELL = "{}";
@@ -143,6 +146,26 @@
         assertEquals(Map.of("broken", 1, "whole", 1), runs());
     }
 
+    @Test
+    void brokenStreamIsResumedElsewhereOrPlainlyBroken() throws Exception {
+        for (String i : List.of("1", "2")) {
+            d.fake("engine", "engine" + i);
+            d.sidecar("roster" + i, "roster", "engine" + i);
+        }
+        d.awaitReady("roster1", "roster2");
+        d.await(
+                "a whole stream",
+                () -> chat().filter(b -> b.equals(wholeStream())).isPresent());
+        for (String i : List.of("1", "2")) {
+            d.faults("engine" + i, "{\"breakAfterEvents\":3,\"breakCount\":1}");
+        }
+        assertEquals(Optional.of(wholeStream()), chat());
+        for (String i : List.of("1", "2")) {
+            d.faults("engine" + i, "{\"breakAfterEvents\":1,\"breakCount\":100}");
+        }
+        assertEquals(Optional.empty(), chat(), "a stream that can't be resumed must not look whole");
+    }
+
     @Test
     void garbageAndWrongKeysCloseTheirOwnLinkAlone() throws Exception {
         try (Socket s = new Socket("127.0.0.1", d.port("side1"))) {
@@ -196,6 +219,27 @@
         assertNotEquals("", json.path("requestId").asText());
     }
 
+    /** Sends one streamed chat; empty if the connection broke or the request was refused. */
+    private Optional<String> chat() {
+        String body = "{\"model\":\"roster\",\"stream\":true,\"max_tokens\":8,\"messages\":" + MESSAGES + "}";
+        try {
+            HttpResponse<String> r = d.send("POST", "entry1-http", "/v1/chat/completions", body, TEAM);
+            return Optional.of(r.body()).filter(b -> r.statusCode() == 200);
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static String wholeStream() {
+        StringBuilder b = new StringBuilder();
+        for (int i = 0; i < 8; i++) {
+            b.append("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"")
+                    .append(FakeEngine.token(MESSAGES, i))
+                    .append("\"}}]}\n\n");
+        }
+        return b.append("data: [DONE]\n\n").toString();
+    }
+
     private void awaitServing(String entry) {
         d.await(entry + " serves", () -> {
             try {
