--- a/cli/src/main/java/org/citrontide/cli/Citrontide.java
+++ b/cli/src/main/java/org/citrontide/cli/Citrontide.java
@@ -18,6 +18,7 @@
     private static final List<Command> COMMANDS = List.of(
             DaemonCommand.ENTRY,
             DaemonCommand.SIDECAR,
+            DaemonCommand.GATEWAY,
             new CheckCommand(),
             new PublishCommand(),
             new StatusCommand(),
--- a/cli/src/main/java/org/citrontide/cli/DaemonCommand.java
+++ b/cli/src/main/java/org/citrontide/cli/DaemonCommand.java
@@ -8,13 +8,14 @@
 import org.citrontide.core.toml.Checked;
 import org.citrontide.entry.daemon.EntryDaemon;
 import org.citrontide.entry.daemon.EntrySettings;
+import org.citrontide.gateway.daemon.GatewayMain;
 import org.citrontide.runtime.log.LogSetup;
 import org.citrontide.runtime.settings.ProcessSettings;
 import org.citrontide.sidecar.daemon.SidecarDaemon;
 import org.citrontide.sidecar.daemon.SidecarSettings;
 
 /**
- * The commands {@code entry} and {@code sidecar}, which go on until the process is told to stop.
+ * The commands {@code entry}, {@code sidecar} and {@code gateway}, which go on until the process is told to stop.
  *
  * @param name word that names the command, and role of the process
  * @param summary one sentence for the help text
@@ -25,6 +26,10 @@
             new DaemonCommand("entry", "Runs an entry: takes callers' requests and routes them.", DaemonCommand::entry);
     static final DaemonCommand SIDECAR =
             new DaemonCommand("sidecar", "Runs a sidecar: the gate before one upstream.", DaemonCommand::sidecar);
+    static final DaemonCommand GATEWAY = new DaemonCommand(
+            "gateway",
+            "Runs a gateway: takes callers' requests and sends them to upstreams over HTTP.",
+            DaemonCommand::gateway);
 
     /** Reads settings and starts a daemon. */
     interface Starter {
@@ -78,11 +83,19 @@
         return ExitCode.DONE;
     }
 
+    private static ExitCode gateway(String file, String text) throws IOException {
+        return GatewayMain.start(file) ? ExitCode.DONE : ExitCode.USAGE;
+    }
+
     private static void prepareLog(DaemonCommand role, ProcessSettings process) {
         LogSetup.install(role.name(), process.vm(), process.zone());
     }
 
     private static void stopOnSignal(Runnable stop) {
-        Runtime.getRuntime().addShutdownHook(new Thread(stop, "stop"));
+        Runnable stopAndFlush = () -> {
+            stop.run();
+            LogSetup.flush();
+        };
+        Runtime.getRuntime().addShutdownHook(new Thread(stopAndFlush, "stop"));
     }
 }
--- a/cli/src/main/java/org/citrontide/cli/StatusCommand.java
+++ b/cli/src/main/java/org/citrontide/cli/StatusCommand.java
@@ -13,7 +13,7 @@
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
 import org.citrontide.core.membership.ListedVm;
-import org.citrontide.platform.store.StoreClient;
+import org.citrontide.store.client.StoreClient;
 import org.citrontide.wire.generated.Frame;
 import org.citrontide.wire.generated.Heartbeat;
 import org.citrontide.wire.generated.ProcessIdentity;
--- a/cli/src/main/java/org/citrontide/cli/Stores.java
+++ b/cli/src/main/java/org/citrontide/cli/Stores.java
@@ -7,7 +7,7 @@
 
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
-import org.citrontide.platform.store.StoreClient;
+import org.citrontide.store.client.StoreClient;
 import org.citrontide.runtime.settings.ProcessSettings;
 
 /** Finds the platform's service for a command. Stateless. */
--- a/cli/src/main/java/org/citrontide/cli/load/LoadRun.java
+++ b/cli/src/main/java/org/citrontide/cli/load/LoadRun.java
@@ -11,7 +11,7 @@
 import java.util.concurrent.locks.LockSupport;
 
 import org.HdrHistogram.Histogram;
-import org.citrontide.platform.store.HttpClients;
+import org.citrontide.store.client.HttpClients;
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
--- /dev/null
+++ b/core/src/main/java/org/citrontide/core/routes/EngineProfile.java
@@ -0,0 +1,33 @@
+package org.citrontide.core.routes;
+
+/**
+ * Published speed and sizes of the model engines of one service. Immutable.
+ *
+ * @param slots requests that one engine processes at once
+ * @param memoryTokens tokens that an engine's cache holds
+ * @param stepMs time of a token step, ms
+ * @param perSequenceMs additional time of a step for each request that is writing, ms
+ * @param perContextMs additional time of a step for each 1,000 tokens of context of a writing request, ms
+ * @param readTokensPerSecond prompt tokens read in a second
+ * @param stride token steps in a pass
+ * @param usualAnswerTokens mean tokens of an answer
+ * @param usualPromptTokens mean tokens of a prompt
+ * @param sets sets of layers with experts of their own, 0 if the engines form no groups
+ * @param experts experts in each set
+ * @param placesPerRank most experts of a set that one rank holds
+ * @param newPerPrepare most experts of a set that one prepared map may bring new to a rank
+ */
+public record EngineProfile(
+        int slots,
+        long memoryTokens,
+        double stepMs,
+        double perSequenceMs,
+        double perContextMs,
+        double readTokensPerSecond,
+        int stride,
+        int usualAnswerTokens,
+        int usualPromptTokens,
+        int sets,
+        int experts,
+        int placesPerRank,
+        int newPerPrepare) {}
--- /dev/null
+++ b/core/src/main/java/org/citrontide/core/routes/RoutingTable.java
@@ -0,0 +1,129 @@
+package org.citrontide.core.routes;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * One version of the routes, services and teams. Immutable and safe for use by many threads.
+ *
+ * <p>Invariant: of the routes that cover a path, the one with the longest prefix is found.
+ */
+public final class RoutingTable {
+    /** The table of a process that knows no configuration yet. */
+    public static final RoutingTable NONE =
+            new RoutingTable(0, List.of(), Map.of(), CallerLimits.INITIAL, Optional.empty());
+
+    private final long version;
+    private final Map<String, List<Route>> routesByHost = new HashMap<>();
+    private final Map<String, ServiceProfile> services;
+    private final CallerLimits limits;
+    private final Optional<Map<String, Team>> teamsByKey;
+
+    /**
+     * Makes a table.
+     *
+     * @param version number of the version, 0 for none
+     * @param routes all routes
+     * @param services services by name
+     * @param limits limits on callers
+     * @param teamsByKey teams by key, or empty if callers need no keys
+     */
+    public RoutingTable(
+            long version,
+            List<Route> routes,
+            Map<String, ServiceProfile> services,
+            CallerLimits limits,
+            Optional<Map<String, Team>> teamsByKey) {
+        this.version = version;
+        this.services = Map.copyOf(services);
+        this.limits = limits;
+        this.teamsByKey = teamsByKey.map(Map::copyOf);
+        for (Route r : routes) {
+            routesByHost.computeIfAbsent(r.host(), h -> new ArrayList<>()).add(r);
+        }
+        Comparator<Route> longestFirst =
+                Comparator.comparingInt(r -> -r.prefix().length());
+        routesByHost.values().forEach(l -> l.sort(longestFirst));
+    }
+
+    /**
+     * Returns the version.
+     *
+     * @return number, 0 for none
+     */
+    public long version() {
+        return version;
+    }
+
+    /**
+     * Returns the limits on callers.
+     *
+     * @return the limits
+     */
+    public CallerLimits limits() {
+        return limits;
+    }
+
+    /**
+     * Says whether callers of routes that aren't public need a key.
+     *
+     * @return true if they do
+     */
+    public boolean needsKeys() {
+        return teamsByKey.isPresent();
+    }
+
+    /**
+     * Finds the team that holds a key.
+     *
+     * @param key the key as the caller sent it
+     * @return the team, if any holds it
+     */
+    public Optional<Team> team(String key) {
+        return teamsByKey.map(t -> t.get(key));
+    }
+
+    /**
+     * Finds a service.
+     *
+     * @param name its name
+     * @return what the configuration says of it
+     */
+    public Optional<ServiceProfile> service(String name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /**
+     * Returns all services.
+     *
+     * @return services by name
+     */
+    public Map<String, ServiceProfile> services() {
+        return services;
+    }
+
+    /**
+     * Finds the route of a request.
+     *
+     * @param host value of the host header, with or without a port
+     * @param target path of the request, with or without a query
+     * @return the route with the longest prefix that begins the path
+     */
+    public Optional<Route> find(String host, String target) {
+        int colon = host.lastIndexOf(':');
+        String name = (colon < 0 ? host : host.substring(0, colon)).toLowerCase(Locale.ROOT);
+        int query = target.indexOf('?');
+        String path = query < 0 ? target : target.substring(0, query);
+        for (Route r : routesByHost.getOrDefault(name, List.of())) {
+            if (path.startsWith(r.prefix())) {
+                return Optional.of(r);
+            }
+        }
+        return Optional.empty();
+    }
+}
--- a/core/src/main/java/org/citrontide/core/toml/TomlSection.java
+++ b/core/src/main/java/org/citrontide/core/toml/TomlSection.java
@@ -140,6 +140,33 @@
         return integer(key, min, max, min);
     }
 
+    /**
+     * Reads a number within a range.
+     *
+     * @param key key in this table
+     * @param min least value allowed
+     * @param max greatest value allowed
+     * @param fallback value if the key is absent
+     * @return the value
+     */
+    public double decimal(String key, double min, double max, double fallback) {
+        known.add(key);
+        Object v = table.get(List.of(key));
+        if (v == null) {
+            return fallback;
+        }
+        String expected = "a number from " + min + " to " + max;
+        if (!(v instanceof Number n)) {
+            report(key, Violation.Kind.WRONG_TYPE, describe(v), expected);
+            return fallback;
+        }
+        if (n.doubleValue() < min || n.doubleValue() > max) {
+            report(key, Violation.Kind.OUT_OF_RANGE, describe(v), expected);
+            return fallback;
+        }
+        return n.doubleValue();
+    }
+
     /**
      * Reads a duration given as an integer of milliseconds.
      *
--- a/dist/src/test/java/org/citrontide/dist/Deployment.java
+++ b/dist/src/test/java/org/citrontide/dist/Deployment.java
@@ -102,8 +102,8 @@
         command.addAll(args);
         ProcessBuilder b = new ProcessBuilder(command);
         b.environment().put("CITRONTIDE_TIER", "1");
-        b.redirectOutput(dir.resolve(name + ".out").toFile());
-        b.redirectError(
+        b.redirectErrorStream(true);
+        b.redirectOutput(
                 ProcessBuilder.Redirect.appendTo(dir.resolve(name + ".log").toFile()));
         processes.put(name, b.start());
     }
--- a/dist/src/test/java/org/citrontide/dist/ModuleArrowsTest.java
+++ b/dist/src/test/java/org/citrontide/dist/ModuleArrowsTest.java
@@ -16,14 +16,14 @@
 
     @Test
     void arrowsGoOneWay() {
-        forbid("core", "wire", "runtime", "platform", "entry", "sidecar", "cli", "fakes");
-        forbid("wire", "runtime", "platform", "entry", "sidecar", "cli", "fakes");
-        forbid("runtime", "platform", "entry", "sidecar", "cli", "fakes");
-        forbid("platform", "entry", "sidecar", "cli", "fakes");
+        forbid("core", "wire", "runtime", "store", "entry", "sidecar", "cli", "fakes");
+        forbid("wire", "runtime", "store", "entry", "sidecar", "cli", "fakes");
+        forbid("runtime", "store", "entry", "sidecar", "cli", "fakes");
+        forbid("store", "entry", "sidecar", "cli", "fakes");
         forbid("entry", "sidecar", "cli", "fakes");
         forbid("sidecar", "entry", "cli", "fakes");
         forbid("cli", "fakes");
-        forbid("fakes", "core.dispatch", "core.gate", "platform", "entry", "sidecar", "cli");
+        forbid("fakes", "core.dispatch", "core.gate", "store", "entry", "sidecar", "cli");
     }
 
     @Test
--- a/entry/src/main/java/org/citrontide/entry/daemon/VmListWatcher.java
+++ b/entry/src/main/java/org/citrontide/entry/daemon/VmListWatcher.java
@@ -12,7 +12,7 @@
 import java.util.random.RandomGenerator;
 
 import org.citrontide.core.membership.ListedVm;
-import org.citrontide.platform.store.StoreClient;
+import org.citrontide.store.client.StoreClient;
 
 /**
  * Watches the platform's lists of VMs of some zones.
--- a/entry/src/main/java/org/citrontide/entry/dispatch/DispatchShell.java
+++ b/entry/src/main/java/org/citrontide/entry/dispatch/DispatchShell.java
@@ -26,7 +26,7 @@
 import org.citrontide.entry.filter.RequestContext;
 import org.citrontide.entry.http.CallerExchange;
 import org.citrontide.entry.http.EntryHandler;
-import org.citrontide.platform.links.ProcessLinks;
+import org.citrontide.store.links.ProcessLinks;
 import org.citrontide.runtime.duty.Clock;
 import org.citrontide.runtime.duty.Duty;
 import org.citrontide.runtime.log.EventLog;
--- /dev/null
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayMain.java
@@ -0,0 +1,89 @@
+package org.citrontide.gateway.daemon;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.Optional;
+
+import org.citrontide.core.toml.Checked;
+import org.citrontide.runtime.log.EventLog;
+import org.citrontide.runtime.log.LogSetup;
+import org.citrontide.runtime.signal.ReloadSignal;
+
+/**
+ * Starts a gateway from its settings file. A class of its own, so that a gateway loads none of the other commands.
+ */
+public final class GatewayMain {
+    private static final EventLog LOG = EventLog.of(GatewayMain.class);
+    private static final String ROLE = "gateway";
+    private static final int USAGE = 2;
+    private static final int UNREACHABLE = 3;
+
+    private GatewayMain() {}
+
+    /**
+     * Starts a gateway, or ends the process with a message.
+     *
+     * @param args path of the settings file
+     */
+    public static void main(String[] args) {
+        if (args.length != 1) {
+            System.err.println("usage: gateway SETTINGS");
+            System.exit(USAGE);
+        }
+        try {
+            if (!start(args[0])) {
+                System.exit(USAGE);
+            }
+        } catch (IOException e) {
+            LOG.error("start-failed", e).write();
+            LogSetup.flush();
+            System.exit(UNREACHABLE);
+        }
+    }
+
+    /**
+     * Starts a gateway that goes on until the process is told to stop.
+     *
+     * @param file path of the settings file
+     * @return false if the settings have mistakes, which were printed
+     * @throws IOException if the file can't be read or an address can't be used
+     */
+    public static boolean start(String file) throws IOException {
+        Checked<GatewaySettings> checked = GatewaySettings.parse(file, Files.readString(Path.of(file)));
+        if (checked.value().isEmpty()) {
+            checked.violations().forEach(v -> System.err.println(v.text()));
+            return false;
+        }
+        GatewaySettings settings = checked.value().get();
+        LogSetup.install(ROLE, settings.vm(), settings.zone());
+        GatewayDaemon daemon = new GatewayDaemon(settings, new SecureRandom().nextLong());
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(
+                        () -> {
+                            daemon.stop();
+                            LogSetup.flush();
+                        },
+                        "stop"));
+        ReloadSignal.handle(() -> reload(file, settings));
+        daemon.start();
+        return true;
+    }
+
+    /** Checks changed settings; they take effect at the next start. */
+    private static void reload(String file, GatewaySettings inForce) {
+        try {
+            Checked<GatewaySettings> checked = GatewaySettings.parse(file, Files.readString(Path.of(file)));
+            LOG.info("reload")
+                    .with("valid", checked.value().isPresent())
+                    .with("changed", !checked.value().equals(Optional.of(inForce)))
+                    .write();
+        } catch (IOException e) {
+            LOG.warn("reload")
+                    .with("valid", false)
+                    .with("why", e.getMessage())
+                    .write();
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
@@ -0,0 +1,86 @@
+package org.citrontide.gateway.daemon;
+
+import javax.inject.Singleton;
+
+import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
+import java.util.random.RandomGenerator;
+
+import dagger.Module;
+import dagger.Provides;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.citrontide.core.gateway.GatewayDispatcher;
+import org.citrontide.core.gateway.RepeatAllowance;
+import org.citrontide.gateway.admin.AdminPages;
+import org.citrontide.gateway.caller.CallerServer;
+import org.citrontide.gateway.dispatch.GatewayMetrics;
+import org.citrontide.gateway.dispatch.GatewayShell;
+import org.citrontide.gateway.store.HttpCaller;
+import org.citrontide.gateway.store.StoreMirror;
+
+/** Builds the parts of a gateway. Used once, at the start of the process. */
+@Module
+final class GatewayModule {
+    // Gateways that share the slack of the repeats; more of them stay in the budget as long as not all use it at once.
+    private static final int SLACK_SHARERS = 12;
+
+    private final GatewaySettings settings;
+    private final SplittableRandom random;
+    private final BooleanSupplier ready;
+
+    GatewayModule(GatewaySettings settings, long seed, BooleanSupplier ready) {
+        this.settings = settings;
+        this.random = new SplittableRandom(seed);
+        this.ready = ready;
+    }
+
+    @Provides
+    @Singleton
+    PrometheusRegistry registry() {
+        return new PrometheusRegistry();
+    }
+
+    @Provides
+    RandomGenerator random() {
+        return random.split();
+    }
+
+    @Provides
+    @Singleton
+    EventLoopGroup loop() {
+        return new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    }
+
+    @Provides
+    @Singleton
+    AdminPages adminPages(EventLoopGroup loop, PrometheusRegistry registry) {
+        return new AdminPages(loop, registry, ready);
+    }
+
+    @Provides
+    @Singleton
+    GatewayShell shell(EventLoopGroup loop, PrometheusRegistry registry, RandomGenerator r) {
+        double slack = (double) settings.repeatSlack() / SLACK_SHARERS;
+        GatewayDispatcher dispatcher = new GatewayDispatcher(
+                settings.zone(),
+                () -> new RepeatAllowance(settings.repeatRatio(), settings.repeatWindow(), slack),
+                random.split());
+        return new GatewayShell(dispatcher, loop.next(), r, new GatewayMetrics(registry, settings.maxTeamLabels()));
+    }
+
+    @Provides
+    @Singleton
+    CallerServer callerServer(EventLoopGroup loop, GatewayShell shell) {
+        return new CallerServer(loop, shell, () -> shell.table().limits(), settings.maxConnections());
+    }
+
+    @Provides
+    @Singleton
+    StoreMirror storeMirror(EventLoopGroup loop, RandomGenerator r, GatewayShell shell) {
+        return new StoreMirror(
+                new HttpCaller(loop.next()), settings.storeAddress(), loop.next(), r, shell);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewaySettings.java
@@ -0,0 +1,72 @@
+package org.citrontide.gateway.daemon;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+
+import org.citrontide.core.toml.Checked;
+import org.citrontide.core.toml.TomlSection;
+import org.citrontide.runtime.settings.ProcessSettings;
+
+/**
+ * The settings of a gateway. Immutable.
+ *
+ * @param vm name of the VM
+ * @param zone availability zone of the VM
+ * @param callerAddress where callers' requests are accepted
+ * @param adminAddress where readiness and metrics are served
+ * @param storeAddress where the platform's store is
+ * @param maxConnections most connections of callers
+ * @param stopLimit longest time that a stop waits for running requests
+ * @param repeatRatio repeats allowed for each request of a service
+ * @param repeatWindow span over which repeats are counted
+ * @param repeatSlack repeats of a window allowed to all gateways together whatever the requests
+ * @param maxTeamLabels teams that have metric labels of their own
+ */
+public record GatewaySettings(
+        String vm,
+        String zone,
+        InetSocketAddress callerAddress,
+        InetSocketAddress adminAddress,
+        InetSocketAddress storeAddress,
+        int maxConnections,
+        Duration stopLimit,
+        double repeatRatio,
+        Duration repeatWindow,
+        int repeatSlack,
+        int maxTeamLabels) {
+    private static final int MAX_CONNECTIONS = 100_000;
+    private static final int DEFAULT_CONNECTIONS = 2000;
+    private static final int MAX_STOP_MS = 3_600_000;
+    private static final int DEFAULT_STOP_MS = 8000;
+    private static final double DEFAULT_RATIO = 0.2;
+    private static final int MAX_WINDOW_MS = 600_000;
+    private static final int DEFAULT_WINDOW_MS = 10_000;
+    private static final int MAX_SLACK = 1_000_000;
+    private static final int DEFAULT_SLACK = 50;
+    private static final int MAX_LABELS = 1000;
+    private static final int DEFAULT_LABELS = 300;
+
+    /**
+     * Reads a settings file.
+     *
+     * @param file name used in messages
+     * @param text content of the file
+     * @return the settings or every mistake
+     */
+    public static Checked<GatewaySettings> parse(String file, String text) {
+        TomlSection root = TomlSection.parse(file, text);
+        String vm = root.requireString("vm");
+        String zone = root.requireString("zone");
+        InetSocketAddress caller = ProcessSettings.address(root, "caller_address");
+        InetSocketAddress admin = ProcessSettings.address(root, "admin_address");
+        InetSocketAddress store = ProcessSettings.address(root, "store_address");
+        int connections = root.integer("max_connections", 1, MAX_CONNECTIONS, DEFAULT_CONNECTIONS);
+        Duration stop = root.milliseconds("stop_limit_ms", 0, MAX_STOP_MS, DEFAULT_STOP_MS);
+        double ratio = root.decimal("repeat_ratio", 0, 1, DEFAULT_RATIO);
+        Duration window = root.milliseconds("repeat_window_ms", 1, MAX_WINDOW_MS, DEFAULT_WINDOW_MS);
+        int slack = root.integer("repeat_slack", 0, MAX_SLACK, DEFAULT_SLACK);
+        int labels = root.integer("max_team_labels", 0, MAX_LABELS, DEFAULT_LABELS);
+        return root.finish(() -> new GatewaySettings(
+                vm, zone, caller, admin, store, connections, stop, ratio, window, slack, labels));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayMetrics.java
@@ -0,0 +1,77 @@
+package org.citrontide.gateway.dispatch;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.citrontide.runtime.metrics.TeamNames;
+
+/** The metrics of a gateway. Safe for use by many threads. */
+public final class GatewayMetrics {
+    private static final double[] SECONDS = {0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8};
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final TeamNames teams;
+    private final Histogram requestSeconds;
+    private final Histogram firstByteSeconds;
+    private final Counter outcomes;
+    private final Counter attempts;
+    private final Gauge open;
+    private final Gauge version;
+
+    /**
+     * Registers the metrics.
+     *
+     * @param registry where to
+     * @param maxTeams teams that have labels of their own
+     */
+    public GatewayMetrics(PrometheusRegistry registry, int maxTeams) {
+        teams = new TeamNames(maxTeams);
+        requestSeconds = histogram(registry, "citrontide_gateway_request_seconds", "Arrival to the end of the answer");
+        firstByteSeconds = histogram(registry, "citrontide_gateway_first_byte_seconds", "Arrival to the first byte");
+        outcomes = Counter.builder()
+                .name("citrontide_gateway_outcomes")
+                .help("Requests by outcome")
+                .labelNames("service", "outcome", "reason")
+                .register(registry);
+        attempts = Counter.builder()
+                .name("citrontide_gateway_attempts")
+                .help("Attempts sent to upstreams")
+                .labelNames("service")
+                .register(registry);
+        open = gauge(registry, "citrontide_gateway_open_requests", "Requests without a final answer");
+        version = gauge(registry, "citrontide_gateway_configuration_version", "Version in force");
+    }
+
+    void firstByte(String team, int rank, long nanos) {
+        firstByteSeconds.labelValues(teams.label(team), Integer.toString(rank)).observe(nanos / NANOS_PER_SECOND);
+    }
+
+    void ended(String service, String team, int rank, String outcome, String reason, long nanos) {
+        requestSeconds.labelValues(teams.label(team), Integer.toString(rank)).observe(nanos / NANOS_PER_SECOND);
+        outcomes.labelValues(service, outcome, reason).inc();
+    }
+
+    void attempt(String service) {
+        attempts.labelValues(service).inc();
+    }
+
+    void state(int openRequests, long configurationVersion) {
+        open.set(openRequests);
+        version.set(configurationVersion);
+    }
+
+    private static Histogram histogram(PrometheusRegistry registry, String name, String help) {
+        return Histogram.builder()
+                .name(name)
+                .help(help)
+                .labelNames("team", "rank")
+                .classicOnly()
+                .classicUpperBounds(SECONDS)
+                .register(registry);
+    }
+
+    private static Gauge gauge(PrometheusRegistry registry, String name, String help) {
+        return Gauge.builder().name(name).help(help).register(registry);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/OpenExchange.java
@@ -0,0 +1,25 @@
+package org.citrontide.gateway.dispatch;
+
+import java.util.Optional;
+
+import org.citrontide.core.gateway.GatewayRequest;
+import org.citrontide.gateway.caller.CallerRequest;
+import org.citrontide.gateway.upstream.EventCutter;
+import org.citrontide.gateway.upstream.UpstreamAttempt;
+
+/**
+ * A caller's request without a final answer, and its latest attempt. Not thread-safe: owned by the event loop.
+ */
+final class OpenExchange {
+    final CallerRequest caller;
+    final GatewayRequest request;
+    final EventCutter events = new EventCutter();
+    Optional<UpstreamAttempt> attempt = Optional.empty();
+    boolean begun;
+    int attempts;
+
+    OpenExchange(CallerRequest caller, GatewayRequest request) {
+        this.caller = caller;
+        this.request = request;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/citrontide/gateway/filter/ConfigurationFilter.java
@@ -0,0 +1,13 @@
+package org.citrontide.gateway.filter;
+
+import java.util.Optional;
+
+import org.citrontide.core.verdict.Reason;
+
+/** Refuses requests as long as no configuration is known, since routes and keys can't be told from unknown ones. */
+final class ConfigurationFilter implements GatewayFilter {
+    @Override
+    public Optional<Reason> check(RequestHead head) {
+        return head.table().version() == 0 ? Optional.of(Reason.NOT_READY) : Optional.empty();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/citrontide/gateway/filter/RequestHead.java
@@ -0,0 +1,77 @@
+package org.citrontide.gateway.filter;
+
+import java.util.Optional;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import org.citrontide.core.routes.Route;
+import org.citrontide.core.routes.RoutingTable;
+import org.citrontide.core.routes.Team;
+
+/**
+ * A caller's request on its way through the filters, which fill in its route and team.
+ *
+ * <p>Not thread-safe: owned by the gateway's event loop.
+ */
+public final class RequestHead {
+    private final String target;
+    private final HttpHeaders headers;
+    private final RoutingTable table;
+    private Optional<Route> route = Optional.empty();
+    private Optional<Team> team = Optional.empty();
+
+    /**
+     * Makes a head.
+     *
+     * @param target path and query
+     * @param headers header fields
+     * @param table routing table in force
+     */
+    public RequestHead(String target, HttpHeaders headers, RoutingTable table) {
+        this.target = target;
+        this.headers = headers;
+        this.table = table;
+    }
+
+    /**
+     * Returns the route, once it was found.
+     *
+     * @return the route
+     */
+    public Route route() {
+        return route.orElseThrow();
+    }
+
+    /**
+     * Returns the team that holds the caller's key.
+     *
+     * @return the team, if the caller sent a key that a team holds
+     */
+    public Optional<Team> team() {
+        return team;
+    }
+
+    String target() {
+        return target;
+    }
+
+    RoutingTable table() {
+        return table;
+    }
+
+    Optional<String> header(CharSequence name) {
+        return Optional.ofNullable(headers.get(name));
+    }
+
+    Optional<String> host() {
+        return headers.getAll(HttpHeaderNames.HOST).size() == 1 ? header(HttpHeaderNames.HOST) : Optional.empty();
+    }
+
+    void setRoute(Route r) {
+        route = Optional.of(r);
+    }
+
+    void setTeam(Optional<Team> t) {
+        team = t;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
@@ -0,0 +1,276 @@
+package org.citrontide.gateway.store;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+import io.netty.channel.EventLoop;
+import org.citrontide.core.gateway.MembershipView;
+import org.citrontide.core.routes.ListedUpstream;
+import org.citrontide.core.routes.RoutingTable;
+import org.citrontide.platform.ConfigurationDecoder;
+import org.citrontide.platform.DecodeException;
+import org.citrontide.platform.MetadataStore;
+import org.citrontide.platform.MetadataStore.Change;
+import org.citrontide.platform.MetadataStore.Item;
+import org.citrontide.platform.PlatformCall;
+import org.citrontide.platform.UpstreamDecoder;
+import org.citrontide.runtime.log.EventLog;
+
+/**
+ * Follows the store: one watch over all its keys brings the configuration and the list of upstreams.
+ *
+ * <p>Invariants: a version of the configuration is handed on only if it is higher than the last one; an entry that can't
+ * be decoded names no upstream and leaves the others as they are. Not thread-safe: owned by the event loop.
+ */
+public final class StoreMirror {
+    private static final EventLog LOG = EventLog.of(StoreMirror.class);
+    private static final String ALL_KEYS = "";
+    // The store answers at once when anything changed, and heartbeats always did: one call a pause carries all of them.
+    private static final Duration PAUSE = Duration.ofMillis(750);
+    private static final Duration WAIT = Duration.ofMillis(1000);
+    // Longer than the wait and a slow answer; a silent connection is given up by then.
+    private static final Duration TIMEOUT = Duration.ofMillis(1800);
+    private static final Duration RETRY = Duration.ofMillis(150);
+    private static final Duration RETRY_SPREAD = Duration.ofMillis(150);
+    private static final int OK = 200;
+
+    /** Hears of what changed. */
+    public interface Listener {
+
+        /**
+         * A higher version of the configuration was read.
+         *
+         * @param table the configuration
+         */
+        void configured(RoutingTable table);
+
+        /**
+         * The list of upstreams changed.
+         *
+         * @param upstreams all that may be used
+         */
+        void listed(List<ListedUpstream> upstreams);
+    }
+
+    private final HttpCaller caller;
+    private final InetSocketAddress store;
+    private final EventLoop loop;
+    private final RandomGenerator random;
+    private final Listener listener;
+    private final MembershipView members = new MembershipView();
+    private final Set<String> reported = new HashSet<>();
+    private Optional<Long> revision = Optional.empty();
+    private long version;
+    private boolean isAway;
+    private long answeredNanos = System.nanoTime();
+
+    /**
+     * Makes a mirror.
+     *
+     * @param caller sends the calls
+     * @param store address of the store
+     * @param loop event loop
+     * @param random spreads the retries of many processes
+     * @param listener hears of changes
+     */
+    public StoreMirror(
+            HttpCaller caller, InetSocketAddress store, EventLoop loop, RandomGenerator random, Listener listener) {
+        this.caller = caller;
+        this.store = store;
+        this.loop = loop;
+        this.random = random;
+        this.listener = listener;
+    }
+
+    /** Begins to follow the store. */
+    public void start() {
+        next();
+    }
+
+    /**
+     * Says whether the list of upstreams was read.
+     *
+     * @return true after the first whole read
+     */
+    public boolean isLoaded() {
+        return revision.isPresent();
+    }
+
+    private void next() {
+        if (revision.isEmpty()) {
+            readAll("", new ArrayList<>());
+        } else {
+            watch(revision.get());
+        }
+    }
+
+    private void readAll(String after, List<Item> items) {
+        call(MetadataStore.range(ALL_KEYS, after), body -> {
+            MetadataStore.Page page = MetadataStore.page(body);
+            items.addAll(page.items());
+            if (page.truncated() && !page.items().isEmpty()) {
+                readAll(page.items().getLast().key(), items);
+                return;
+            }
+            loaded(items);
+            revision = Optional.of(page.revision());
+            LOG.info("store-read")
+                    .with("revision", page.revision())
+                    .with("upstreams", members.upstreams().size())
+                    .write();
+            later(PAUSE);
+        });
+    }
+
+    private void loaded(List<Item> items) {
+        List<ListedUpstream> upstreams = new ArrayList<>();
+        for (Item i : items) {
+            if (i.key().equals(ConfigurationDecoder.KEY)) {
+                configured(i);
+            }
+            if (i.key().startsWith(UpstreamDecoder.PREFIX)) {
+                decode(i).ifPresent(upstreams::add);
+            }
+        }
+        members.replaceAll(upstreams, System.nanoTime());
+        listener.listed(members.upstreams());
+    }
+
+    private void watch(long after) {
+        call(MetadataStore.watch(ALL_KEYS, after, WAIT), body -> {
+            MetadataStore.Changes changes = MetadataStore.changes(body);
+            changes.changes().forEach(this::changed);
+            members.expire(System.nanoTime());
+            if (!changes.changes().isEmpty()) {
+                listener.listed(members.upstreams());
+            }
+            revision = Optional.of(Math.max(after, changes.revision()));
+            later(PAUSE);
+        });
+    }
+
+    private void changed(Change c) {
+        if (c.key().equals(ConfigurationDecoder.KEY)) {
+            c.item().ifPresent(this::configured);
+        }
+        if (!c.key().startsWith(UpstreamDecoder.PREFIX)) {
+            return;
+        }
+        String id = c.key().substring(UpstreamDecoder.PREFIX.length());
+        Optional<ListedUpstream> upstream = c.item().flatMap(this::decode);
+        if (upstream.isPresent()) {
+            noteDraining(upstream.get());
+            members.written(upstream.get());
+            return;
+        }
+        LOG.info("upstream-removed").with("upstream", id).write();
+        members.removed(id, System.nanoTime());
+    }
+
+    private void noteDraining(ListedUpstream u) {
+        if (u.draining() && reported.add("draining " + u.id())) {
+            LOG.info("upstream-draining").with("upstream", u.id()).write();
+        }
+    }
+
+    private Optional<ListedUpstream> decode(Item i) {
+        try {
+            return Optional.of(UpstreamDecoder.decode(i.key(), i.value()));
+        } catch (DecodeException e) {
+            if (reported.add(i.key())) {
+                LOG.warn("upstream-entry-unusable")
+                        .with("key", i.key())
+                        .with("why", e.getMessage())
+                        .write();
+            }
+            return Optional.empty();
+        }
+    }
+
+    private void configured(Item i) {
+        try {
+            RoutingTable table = ConfigurationDecoder.decode(i.value());
+            if (table.version() > version) {
+                version = table.version();
+                LOG.info("configuration-in-force")
+                        .with("version", version)
+                        .with("revision", i.revision())
+                        .with("age-ms", ageMillis())
+                        .write();
+                listener.configured(table);
+            }
+        } catch (DecodeException e) {
+            LOG.warn("configuration-unusable")
+                    .with("revision", i.revision())
+                    .with("kept-version", version)
+                    .with("why", e.getMessage())
+                    .with("bytes", new String(i.value(), StandardCharsets.UTF_8).length())
+                    .write();
+        }
+    }
+
+    private long ageMillis() {
+        return Duration.ofNanos(System.nanoTime() - answeredNanos).toMillis();
+    }
+
+    private void call(PlatformCall call, AnswerReader reader) {
+        caller.call(store, call, TIMEOUT).whenComplete((reply, failure) -> {
+            if (failure != null) {
+                away(failure.getMessage());
+                return;
+            }
+            if (reply.status() == MetadataStore.STATUS_HISTORY_GONE) {
+                LOG.info("store-history-gone").with("revision", revision.orElse(0L)).write();
+                revision = Optional.empty();
+                later(Duration.ZERO);
+                return;
+            }
+            if (reply.status() != OK) {
+                away("status " + reply.status());
+                return;
+            }
+            try {
+                back();
+                reader.read(reply.body());
+            } catch (DecodeException e) {
+                away(e.getMessage());
+            }
+        });
+    }
+
+    private void away(String why) {
+        members.storeAway();
+        if (!isAway) {
+            isAway = true;
+            LOG.warn("store-lost").with("why", why).write();
+        }
+        later(RETRY.plus(Duration.ofNanos(random.nextLong(RETRY_SPREAD.toNanos()))));
+    }
+
+    private void back() {
+        members.storeAnswers(System.nanoTime());
+        if (isAway) {
+            isAway = false;
+            LOG.info("store-regained").with("after-ms", ageMillis()).write();
+        }
+        answeredNanos = System.nanoTime();
+    }
+
+    private void later(Duration pause) {
+        loop.schedule(this::next, pause.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    /** Reads the body of a successful answer. */
+    @FunctionalInterface
+    private interface AnswerReader {
+        void read(byte[] body) throws DecodeException;
+    }
+}
--- a/runtime/src/main/java/org/citrontide/runtime/log/LogSetup.java
+++ b/runtime/src/main/java/org/citrontide/runtime/log/LogSetup.java
@@ -1,14 +1,13 @@
 package org.citrontide.runtime.log;
 
 import java.time.Instant;
-import java.util.logging.ConsoleHandler;
 import java.util.logging.Formatter;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 
-/** Sends the log of this process to its standard error, one line an event. Safe for use by many threads. */
+/** Sends the log of this process to its standard output, one line an event. Safe for use by many threads. */
 public final class LogSetup {
     private static final Logger ROOT = Logger.getLogger("");
 
@@ -25,15 +24,19 @@
         for (Handler h : ROOT.getHandlers()) {
             ROOT.removeHandler(h);
         }
-        ConsoleHandler handler = new ConsoleHandler();
-        handler.setFormatter(new PairFormatter(" role=" + role + " vm=" + vm + " zone=" + zone + " "));
-        handler.setLevel(Level.ALL);
-        ROOT.addHandler(handler);
+        ROOT.addHandler(new RingHandler(new PairFormatter(" role=" + role + " vm=" + vm + " zone=" + zone + " ")));
         ROOT.setLevel(Level.INFO);
         Logger.getLogger("org.eclipse.jetty").setLevel(Level.WARNING);
         Logger.getLogger("io.netty").setLevel(Level.WARNING);
     }
 
+    /** Waits, for a bounded time, until the lines so far are written; called before the process ends. */
+    public static void flush() {
+        for (Handler h : ROOT.getHandlers()) {
+            h.flush();
+        }
+    }
+
     private static final class PairFormatter extends Formatter {
         private final String identity;
 
--- a/sidecar/src/main/java/org/citrontide/sidecar/daemon/SidecarParts.java
+++ b/sidecar/src/main/java/org/citrontide/sidecar/daemon/SidecarParts.java
@@ -4,7 +4,7 @@
 
 import dagger.Component;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import org.citrontide.platform.configuration.ConfigurationService;
+import org.citrontide.store.configuration.ConfigurationService;
 import org.citrontide.sidecar.gate.GateShell;
 import org.citrontide.wire.link.LinkEndpoint;
 
--- a/sidecar/src/main/java/org/citrontide/sidecar/gate/ClaimStore.java
+++ b/sidecar/src/main/java/org/citrontide/sidecar/gate/ClaimStore.java
@@ -6,8 +6,8 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import org.citrontide.core.claim.ClaimAction;
 import org.citrontide.core.claim.ClaimEvent;
-import org.citrontide.platform.store.StoreClient;
-import org.citrontide.platform.store.StoreReply;
+import org.citrontide.store.client.StoreClient;
+import org.citrontide.store.client.StoreReply;
 import org.citrontide.wire.codec.ClaimCodec;
 
 /** Carries out the calls of a claim ledger at the platform's service. Safe for use by many threads. */
--- a/sidecar/src/main/java/org/citrontide/sidecar/gate/GateShell.java
+++ b/sidecar/src/main/java/org/citrontide/sidecar/gate/GateShell.java
@@ -25,7 +25,7 @@
 import org.citrontide.core.queue.Waiting;
 import org.citrontide.core.verdict.Reason;
 import org.citrontide.core.verdict.Verdict;
-import org.citrontide.platform.links.ProcessLinks;
+import org.citrontide.store.links.ProcessLinks;
 import org.citrontide.runtime.duty.Clock;
 import org.citrontide.runtime.duty.Duty;
 import org.citrontide.runtime.log.EventLog;
--- a/platform/src/main/java/org/citrontide/platform/store/StoreClient.java
+++ b/store/src/main/java/org/citrontide/store/client/StoreClient.java
@@ -1,4 +1,4 @@
-package org.citrontide.platform.store;
+package org.citrontide.store.client;
 
 import java.io.IOException;
 import java.net.ConnectException;
--- a/platform/src/main/java/org/citrontide/platform/store/StoreReply.java
+++ b/store/src/main/java/org/citrontide/store/client/StoreReply.java
@@ -1,4 +1,4 @@
-package org.citrontide.platform.store;
+package org.citrontide.store.client;
 
 /** The outcome of one call to the platform's key-value service. Immutable; the arrays must not be changed. */
 public sealed interface StoreReply {
--- a/platform/src/main/java/org/citrontide/platform/configuration/ConfigurationService.java
+++ b/store/src/main/java/org/citrontide/store/configuration/ConfigurationService.java
@@ -1,4 +1,4 @@
-package org.citrontide.platform.configuration;
+package org.citrontide.store.configuration;
 
 import java.time.Duration;
 import java.util.List;
--- a/platform/src/main/java/org/citrontide/platform/configuration/StoredConfiguration.java
+++ b/store/src/main/java/org/citrontide/store/configuration/StoredConfiguration.java
@@ -1,4 +1,4 @@
-package org.citrontide.platform.configuration;
+package org.citrontide.store.configuration;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -12,8 +12,8 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import org.citrontide.core.publication.Head;
 import org.citrontide.core.publication.SpreadEvent;
-import org.citrontide.platform.store.StoreClient;
-import org.citrontide.platform.store.StoreReply;
+import org.citrontide.store.client.StoreClient;
+import org.citrontide.store.client.StoreReply;
 import org.citrontide.wire.codec.ConfigurationCodec;
 
 /** Reads the head and the files that it names from the platform's service. Safe for use by many threads. */
--- a/platform/src/main/java/org/citrontide/platform/links/ProcessLinks.java
+++ b/store/src/main/java/org/citrontide/store/links/ProcessLinks.java
@@ -1,6 +1,6 @@
-package org.citrontide.platform.links;
+package org.citrontide.store.links;
 
-import org.citrontide.platform.configuration.ConfigurationService;
+import org.citrontide.store.configuration.ConfigurationService;
 import org.citrontide.runtime.log.EventLog;
 import org.citrontide.runtime.log.LogBudget;
 import org.citrontide.wire.generated.Frame;
