Change the expert map of a group while it serves, by the gateway that leads

Ruled out: planning from scratch (PlacementPlanner): a rank takes in two new experts of a set at a time.

--- a/core/src/main/java/org/citrontide/core/routes/EngineProfile.java
+++ b/core/src/main/java/org/citrontide/core/routes/EngineProfile.java
@@ -1,5 +1,7 @@
 package org.citrontide.core.routes;
 
+import java.time.Duration;
+
 /**
  * Published speed and sizes of the model engines of one service. Immutable.
  *
@@ -16,6 +18,8 @@
  * @param experts experts in each set
  * @param placesPerRank most experts of a set that one rank holds
  * @param newPerPrepare most experts of a set that one prepared map may bring new to a rank
+ * @param expertMegabytes size of one expert
+ * @param linkMegabits rate at which a rank copies experts, Mbit/s
  */
 public record EngineProfile(
         int slots,
@@ -30,4 +34,19 @@
         int sets,
         int experts,
         int placesPerRank,
-        int newPerPrepare) {}
+        int newPerPrepare,
+        double expertMegabytes,
+        double linkMegabits) {
+    private static final double BITS_PER_BYTE = 8;
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    /**
+     * Returns the time in which a rank copies experts.
+     *
+     * @param count experts that are new to it
+     * @return time at the full rate of its link
+     */
+    public Duration copyTime(int count) {
+        return Duration.ofNanos((long) (count * expertMegabytes * BITS_PER_BYTE / linkMegabits * NANOS_PER_SECOND));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
@@ -0,0 +1,98 @@
+package org.citrontide.gateway.daemon;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+import io.netty.channel.EventLoop;
+import org.citrontide.core.routes.ListedUpstream;
+import org.citrontide.core.routes.RoutingTable;
+import org.citrontide.gateway.dispatch.GatewayShell;
+import org.citrontide.gateway.maps.MapShell;
+import org.citrontide.gateway.store.HttpCaller;
+import org.citrontide.gateway.store.Leadership;
+import org.citrontide.gateway.store.StoreMirror;
+
+/**
+ * What one gateway does beside serving requests: follows the store, stands for leader, and changes expert maps while it
+ * leads.
+ *
+ * <p>Not thread-safe: owned by the event loop, but for {@link #isLoaded} and {@link #isHolding}.
+ */
+final class ControlPlane implements StoreMirror.Listener, Leadership.Listener {
+    // A change of map waits for a tick at each of its steps, each of which delays better passes.
+    private static final Duration LEADER_TICK = Duration.ofMillis(20);
+    private static final Duration FOLLOWER_TICK = Duration.ofMillis(250);
+
+    private final EventLoop loop;
+    private final GatewayShell shell;
+    private final StoreMirror mirror;
+    private final Leadership leadership;
+    private final MapShell maps;
+    private boolean leads;
+    private volatile boolean holding;
+
+    ControlPlane(GatewaySettings settings, EventLoop loop, RandomGenerator random, GatewayShell shell) {
+        this.loop = loop;
+        this.shell = shell;
+        HttpCaller caller = new HttpCaller(loop);
+        this.mirror = new StoreMirror(caller, settings.storeAddress(), loop, random, this);
+        this.leadership = new Leadership(caller, settings.storeAddress(), loop, random, settings.vm(), this);
+        this.maps = new MapShell(caller, loop);
+    }
+
+    void start() {
+        mirror.start();
+        tick();
+    }
+
+    void stop() {
+        leadership.resign();
+    }
+
+    boolean isLoaded() {
+        return mirror.isLoaded();
+    }
+
+    boolean isHolding() {
+        return holding;
+    }
+
+    @Override
+    public void configured(RoutingTable table) {
+        shell.configured(table);
+        maps.configured(table);
+    }
+
+    @Override
+    public void listed(List<ListedUpstream> upstreams) {
+        shell.listed(upstreams);
+        maps.listed(upstreams);
+    }
+
+    @Override
+    public void leaderKey(boolean isHeld) {
+        leadership.keySeen(isHeld);
+    }
+
+    @Override
+    public void elected(long term) {
+        leads = true;
+        maps.elected(term);
+    }
+
+    @Override
+    public void deposed() {
+        leads = false;
+        maps.deposed();
+    }
+
+    private void tick() {
+        leadership.check();
+        maps.tick();
+        holding = maps.isHolding();
+        Duration pause = leads || holding ? LEADER_TICK : FOLLOWER_TICK;
+        loop.schedule(this::tick, pause.toMillis(), TimeUnit.MILLISECONDS);
+    }
+}
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayDaemon.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayDaemon.java
@@ -46,7 +46,7 @@
     public void start() throws IOException {
         parts.adminPages().listen(settings.adminAddress());
         parts.callerServer().listen(settings.callerAddress());
-        parts.loop().next().execute(() -> parts.storeMirror().start());
+        parts.loop().next().execute(() -> parts.controlPlane().start());
         LOG.info("started")
                 .with("caller-address", settings.callerAddress())
                 .with("store-address", settings.storeAddress())
@@ -66,7 +66,9 @@
         while (System.nanoTime() < notice) {
             pause();
         }
-        while (System.nanoTime() < end && parts.shell().openRequests() > 0) {
+        parts.loop().next().execute(() -> parts.controlPlane().stop());
+        while (System.nanoTime() < end
+                && (parts.shell().openRequests() > 0 || parts.controlPlane().isHolding())) {
             pause();
         }
         parts.loop().next().execute(() -> parts.callerServer().closeIdle());
@@ -78,7 +80,7 @@
     private boolean isReady() {
         return !stopping.get()
                 && parts.shell().table().version() > 0
-                && parts.storeMirror().isLoaded();
+                && parts.controlPlane().isLoaded();
     }
 
     private void awaitStopped() {
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
@@ -18,8 +18,6 @@
 import org.citrontide.gateway.caller.CallerServer;
 import org.citrontide.gateway.dispatch.GatewayMetrics;
 import org.citrontide.gateway.dispatch.GatewayShell;
-import org.citrontide.gateway.store.HttpCaller;
-import org.citrontide.gateway.store.StoreMirror;
 
 /** Builds the parts of a gateway. Used once, at the start of the process. */
 @Module
@@ -79,8 +77,7 @@
 
     @Provides
     @Singleton
-    StoreMirror storeMirror(EventLoopGroup loop, RandomGenerator r, GatewayShell shell) {
-        return new StoreMirror(
-                new HttpCaller(loop.next()), settings.storeAddress(), loop.next(), r, shell);
+    ControlPlane controlPlane(EventLoopGroup loop, RandomGenerator r, GatewayShell shell) {
+        return new ControlPlane(settings, loop.next(), r, shell);
     }
 }
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayParts.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayParts.java
@@ -7,7 +7,6 @@
 import org.citrontide.gateway.admin.AdminPages;
 import org.citrontide.gateway.caller.CallerServer;
 import org.citrontide.gateway.dispatch.GatewayShell;
-import org.citrontide.gateway.store.StoreMirror;
 
 /** The parts of a gateway, wired by Dagger. */
 @Singleton
@@ -21,5 +20,5 @@
 
     GatewayShell shell();
 
-    StoreMirror storeMirror();
+    ControlPlane controlPlane();
 }
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
@@ -26,7 +26,6 @@
 import org.citrontide.gateway.caller.CallerRequest;
 import org.citrontide.gateway.filter.GatewayFilter;
 import org.citrontide.gateway.filter.RequestHead;
-import org.citrontide.gateway.store.StoreMirror;
 import org.citrontide.gateway.upstream.AnswerHead;
 import org.citrontide.gateway.upstream.AttemptListener;
 import org.citrontide.gateway.upstream.UpstreamAttempt;
@@ -38,7 +37,7 @@
  *
  * <p>Not thread-safe: owned by the event loop.
  */
-public final class GatewayShell implements CallerListener, AttemptListener, StoreMirror.Listener {
+public final class GatewayShell implements CallerListener, AttemptListener {
     // Deadlines are kept to within this; the smallest that callers set is some hundred milliseconds.
     private static final Duration TICK = Duration.ofMillis(50);
     private static final Duration NO_DEADLINE = Duration.ofSeconds(60);
@@ -95,6 +94,24 @@
         return open.size();
     }
 
+    /**
+     * Puts a configuration in force.
+     *
+     * @param t the routing table
+     */
+    public void configured(RoutingTable t) {
+        table = t;
+    }
+
+    /**
+     * Takes the list of upstreams.
+     *
+     * @param upstreams all that may be used
+     */
+    public void listed(List<ListedUpstream> upstreams) {
+        handle(new GatewayEvent.Listed(upstreams));
+    }
+
     @Override
     public boolean isStopping() {
         return stopping;
@@ -162,16 +179,6 @@
         handle(new GatewayEvent.Ended(a.number(), o));
     }
 
-    @Override
-    public void configured(RoutingTable t) {
-        table = t;
-    }
-
-    @Override
-    public void listed(List<ListedUpstream> upstreams) {
-        handle(new GatewayEvent.Listed(upstreams));
-    }
-
     private void tick() {
         handle(new GatewayEvent.Tick());
         metrics.state(open.size(), table.version());
--- a/gateway/src/main/java/org/citrontide/gateway/store/HttpCaller.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/HttpCaller.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.Bootstrap;
@@ -71,7 +72,8 @@
         while (!kept.isEmpty()) {
             Connection c = kept.removeFirst();
             if (c.channel.isActive()) {
-                c.send(call, timeout, reply);
+                c.send(call, reply);
+                expireAfter(timeout, reply, c);
                 return reply;
             }
         }
@@ -104,16 +106,22 @@
                     }
                 });
         ChannelFuture connecting = bootstrap.connect(address);
+        expireAfter(timeout, reply, connection);
         connecting.addListener(f -> {
             if (f.isSuccess()) {
                 connection.channel = connecting.channel();
-                connection.send(call, timeout, reply);
+                connection.sendUnlessOver(call, reply);
             } else {
                 reply.completeExceptionally(new IOException("can't connect to " + address, f.cause()));
             }
         });
     }
 
+    private void expireAfter(Duration timeout, CompletableFuture<HttpReply> reply, Connection connection) {
+        Future<?> timer = loop.schedule(() -> connection.expire(reply), timeout.toMillis(), TimeUnit.MILLISECONDS);
+        reply.whenComplete((r, f) -> timer.cancel(false));
+    }
+
     /** One connection, which carries one call at a time. */
     private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final InetSocketAddress address;
@@ -124,7 +132,7 @@
             this.address = address;
         }
 
-        private void send(PlatformCall call, Duration timeout, CompletableFuture<HttpReply> reply) {
+        private void send(PlatformCall call, CompletableFuture<HttpReply> reply) {
             waiting = reply;
             DefaultFullHttpRequest r = new DefaultFullHttpRequest(
                     HttpVersion.HTTP_1_1,
@@ -135,9 +143,17 @@
             if (call.body().length > 0) {
                 r.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
             }
+            call.headers().forEach(r.headers()::set);
             HttpUtil.setContentLength(r, call.body().length);
             channel.writeAndFlush(r);
-            loop.schedule(() -> expire(reply), timeout.toMillis(), TimeUnit.MILLISECONDS);
+        }
+
+        private void sendUnlessOver(PlatformCall call, CompletableFuture<HttpReply> reply) {
+            if (reply.isDone()) {
+                channel.close();
+                return;
+            }
+            send(call, reply);
         }
 
         @Override
@@ -173,7 +189,9 @@
                 return;
             }
             waiting = null;
-            channel.close();
+            if (channel != null) {
+                channel.close();
+            }
             fail(reply, "no answer in time");
         }
 
--- a/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
@@ -58,6 +58,13 @@
          * @param upstreams all that may be used
          */
         void listed(List<ListedUpstream> upstreams);
+
+        /**
+         * The key under which one process leads was written or removed.
+         *
+         * @param isHeld whether it is there
+         */
+        void leaderKey(boolean isHeld);
     }
 
     private final HttpCaller caller;
@@ -140,6 +147,7 @@
                 decode(i).ifPresent(upstreams::add);
             }
         }
+        listener.leaderKey(items.stream().anyMatch(i -> i.key().equals(Leadership.KEY)));
         members.replaceAll(upstreams, System.nanoTime());
         listener.listed(members.upstreams());
     }
@@ -161,6 +169,9 @@
         if (c.key().equals(ConfigurationDecoder.KEY)) {
             c.item().ifPresent(this::configured);
         }
+        if (c.key().equals(Leadership.KEY)) {
+            listener.leaderKey(c.item().isPresent());
+        }
         if (!c.key().startsWith(UpstreamDecoder.PREFIX)) {
             return;
         }
