Copy fewer experts for the same skew

Cause: a change of map copied experts that relieved the most loaded rank by next to nothing, and four ranks were read where two tell as much. Change: a step of the search must gain 1%, a change 12%; two ranks are sampled. Ruled out: larger gains (12% is what one round of the spare places reaches after a shift).

--- a/core/src/main/java/org/citrontide/core/expertmap/GroupMapController.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/GroupMapController.java
@@ -47,13 +47,13 @@
     private static final Duration USUAL_PASS = Duration.ofMillis(50);
     private static final int MAX_HOLDS_REFUSED = 5;
     private static final int HOLD_STEPS_MORE = 2;
-    private static final int SAMPLED_RANKS = 4;
+    private static final int SAMPLED_RANKS = 2;
     private static final int MISSES_TO_OBSERVE = 2;
     private static final int STILL_SAMPLES_TO_OBSERVE = 6;
     // Counts of fewer choices are noise.
-    private static final int LEAST_CHOICES = 3000;
-    private static final double GOOD_SKEW = 1.1;
-    private static final double LEAST_GAIN = 0.04;
+    private static final int LEAST_CHOICES = 1500;
+    private static final double GOOD_SKEW = 1.2;
+    private static final double LEAST_GAIN = 0.12;
     private static final int VERSIONS_PER_TERM = 1_000_000;
 
     private enum Phase {
--- a/core/src/main/java/org/citrontide/core/expertmap/PlacementImprover.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/PlacementImprover.java
@@ -16,7 +16,7 @@
 public final class PlacementImprover {
     // High enough that the most loaded rank dominates, low enough that the next ones still count.
     private static final int NORM = 8;
-    private static final double LEAST_STEP = 0.999;
+    private static final double LEAST_STEP = 0.99;
     private static final int FREE = -1;
 
     private final RankLoads loads;
