--- a/core/src/main/java/org/citrontide/core/expertmap/GroupMapController.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/GroupMapController.java
@@ -53,7 +53,13 @@
     // Counts of fewer choices are noise.
     private static final int LEAST_CHOICES = 1500;
     private static final double GOOD_SKEW = 1.2;
-    private static final double LEAST_GAIN = 0.12;
+    // While demand moves every few seconds, a map is in force too briefly to repay more copies.
+    private static final double MOVING_GAIN = 0.12;
+    private static final double MOVING_STEP_GAIN = 0.01;
+    private static final double STEADY_GAIN = 0.03;
+    private static final double STEADY_STEP_GAIN = 0.001;
+    private static final double STEADY_SKEW = 1.05;
+    private static final Duration STEADY_AFTER = Duration.ofSeconds(8);
     private static final int VERSIONS_PER_TERM = 1_000_000;
 
     private enum Phase {
@@ -98,6 +104,7 @@
     private int misses;
     private int stillSamples;
     private boolean evaluateAgain;
+    private long changedNanos;
 
     /**
      * Makes a controller of the groups of one service.
@@ -158,7 +165,8 @@
 
         private void deposed() {
             elected = false;
-            if (!isHolding()) {
+            // A hold that is not answered yet is left to the next controller, which may have found it already.
+            if (phase == Phase.HOLDING || !isHolding()) {
                 enter(Phase.IDLE);
             }
         }
@@ -384,6 +392,7 @@
         }
 
         private void beginSampling() {
+            changedNanos = changedNanos == 0 ? nowNanos : changedNanos;
             enter(Phase.SAMPLING);
             misses = 0;
             stillSamples = 0;
@@ -453,12 +462,17 @@
             }
             evaluateAgain = false;
             List<RankLoads> loads = demand.loads(speeds, profile.placesPerRank());
-            if (current.skew(loads) < GOOD_SKEW) {
+            if (current.skew(loads) < (isSteady() ? STEADY_SKEW : GOOD_SKEW)) {
                 return;
             }
             enter(Phase.PLANNING);
             long newVersion = term * VERSIONS_PER_TERM + ++changes;
-            out.add(new MapAction.Plan(current, loads, profile.newPerPrepare(), newVersion));
+            double leastGain = isSteady() ? STEADY_STEP_GAIN : MOVING_STEP_GAIN;
+            out.add(new MapAction.Plan(current, loads, profile.newPerPrepare(), newVersion, leastGain));
+        }
+
+        private boolean isSteady() {
+            return nowNanos - changedNanos > STEADY_AFTER.toNanos();
         }
 
         private void planned(GroupMap map) {
@@ -467,11 +481,12 @@
             }
             List<RankLoads> loads = demand.loads(speeds, profile.placesPerRank());
             double gain = 1 - map.passTime(loads) / current.passTime(loads);
-            if (gain < LEAST_GAIN || !elected) {
+            if (gain < (isSteady() ? STEADY_GAIN : MOVING_GAIN) || !elected) {
                 beginSampling();
                 dueNanos = nowNanos + SAMPLE_INTERVAL.toNanos();
                 return;
             }
+            changedNanos = gain >= MOVING_GAIN ? nowNanos : changedNanos;
             note(
                     "map-change-begun",
                     String.format(
@@ -542,6 +557,10 @@
 
         private void seenWhileArming(String id, RankReport r) {
             checkEpoch(r);
+            if (phase == Phase.ARMING && r.step() >= holdStep) {
+                note("map-change-ended-by-other", "version " + version + " pass " + holdStep);
+                observe(REPORT_LAG);
+            }
             boolean isArmed = r.armed().isPresent() && r.armed().getAsLong() == version;
             if (phase == Phase.ARMING && isArmed && pending.contains(id)) {
                 resend.remove(id);
@@ -558,7 +577,7 @@
         }
 
         private void holdTick() {
-            if (nowNanos - phaseNanos > HOLD_LIMIT.toNanos() || !elected) {
+            if (nowNanos - phaseNanos > HOLD_LIMIT.toNanos()) {
                 release();
                 return;
             }
--- a/core/src/main/java/org/citrontide/core/expertmap/MapAction.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/MapAction.java
@@ -43,8 +43,9 @@
      * @param loads loads of each set
      * @param newPerRank most experts of a set that a rank may take in
      * @param version version of the new map
+     * @param leastGain part by which each change of a place must relieve the most loaded ranks
      */
-    record Plan(GroupMap current, List<RankLoads> loads, int newPerRank, long version) implements MapAction {
+    record Plan(GroupMap current, List<RankLoads> loads, int newPerRank, long version, double leastGain) implements MapAction {
 
         /** Copies the list. */
         public Plan {
@@ -60,7 +61,7 @@
         public GroupMap search(int maxSteps) {
             List<ExpertMap> next = new ArrayList<>();
             for (int s = 0; s < loads.size(); s++) {
-                next.add(new PlacementImprover(current.sets().get(s), loads.get(s), newPerRank).improved(maxSteps));
+                next.add(new PlacementImprover(current.sets().get(s), loads.get(s), newPerRank).improved(maxSteps, leastGain));
             }
             return new GroupMap(version, next);
         }
--- a/core/src/main/java/org/citrontide/core/expertmap/PlacementImprover.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/PlacementImprover.java
@@ -1,14 +1,18 @@
 package org.citrontide.core.expertmap;
 
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 
 /**
  * Improves the map of one set of experts in small steps, because a rank can take in only a few new experts at a time.
  *
  * <p>The load that it answers: a few experts that suddenly get most of the tokens. A pass lasts as long as its most
- * loaded rank, so the search looks at that rank alone: it gives one of its experts a further replica, swaps one with
- * another rank, or drops one that others hold as well, whichever relieves the group most.
+ * loaded rank, so the search looks at the few most loaded ranks: it gives one of their experts a further replica,
+ * swaps one with another rank, or drops one that others hold as well, whichever relieves the group most.
  *
  * <p>Invariants: every expert stays on at least one rank; no rank holds an expert twice, more than its places, or more
  * new experts than allowed; the tokens of an expert are shared evenly by its replicas. Not thread-safe.
@@ -16,7 +20,7 @@
 public final class PlacementImprover {
     // High enough that the most loaded rank dominates, low enough that the next ones still count.
     private static final int NORM = 8;
-    private static final double LEAST_STEP = 0.99;
+    private static final int HOT_RANKS = 3;
     private static final int FREE = -1;
 
     private final RankLoads loads;
@@ -59,11 +63,12 @@
      * Searches for a better map.
      *
      * @param maxSteps most changes of a place
+     * @param leastGain part by which a change must relieve the most loaded ranks, since each copies an expert
      * @return the best map found, which may be the one in force
      */
-    public ExpertMap improved(int maxSteps) {
+    public ExpertMap improved(int maxSteps, double leastGain) {
         for (int i = 0; i < maxSteps; i++) {
-            Optional<Change> best = bestChange();
+            Optional<Change> best = bestChange(leastGain);
             if (best.isEmpty()) {
                 break;
             }
@@ -79,50 +84,58 @@
         }
     }
 
-    private Optional<Change> bestChange() {
+    private Optional<Change> bestChange(double leastGain) {
         double[] work = work();
-        int hot = 0;
-        for (int r = 1; r < work.length; r++) {
-            hot = work[r] > work[hot] ? r : hot;
-        }
-        double least = norm(work) * LEAST_STEP;
+        double least = norm(work) * (1 - leastGain);
         Change best = null;
-        for (int p = 0; p < places[hot].length; p++) {
-            int e = places[hot][p];
-            if (e == FREE) {
-                continue;
+        for (int hot : hottest(work)) {
+            for (int p = 0; p < places[hot].length; p++) {
+                for (Change c : changes(hot, p)) {
+                    double cost = cost(c);
+                    if (cost < least) {
+                        least = cost;
+                        best = c;
+                    }
+                }
             }
-            Change drop = Change.single(hot, p, FREE);
-            if (replicas[e] > 1 && cost(drop) < least) {
-                least = cost(drop);
-                best = drop;
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private static int[] hottest(double[] work) {
+        return IntStream.range(0, work.length)
+                .boxed()
+                .sorted(Comparator.comparingDouble(r -> -work[r]))
+                .limit(HOT_RANKS)
+                .mapToInt(Integer::intValue)
+                .toArray();
+    }
+
+    /** Lists the changes that relieve one place of a rank. */
+    private List<Change> changes(int hot, int place) {
+        int e = places[hot][place];
+        List<Change> list = new ArrayList<>();
+        if (e == FREE) {
+            return list;
+        }
+        if (replicas[e] > 1) {
+            list.add(Change.single(hot, place, FREE));
+        }
+        for (int r = 0; r < places.length; r++) {
+            if (r == hot || held[r][e] || !mayTake(r, e)) {
+                continue;
             }
-            for (int r = 0; r < places.length; r++) {
-                if (r == hot || held[r][e] || !mayTake(r, e)) {
-                    continue;
+            for (int q = 0; q < places[r].length; q++) {
+                int v = places[r][q];
+                if (v == FREE || replicas[v] > 1) {
+                    list.add(Change.single(r, q, e));
                 }
-                for (int q = 0; q < places[r].length; q++) {
-                    int v = places[r][q];
-                    if (v == FREE || replicas[v] > 1) {
-                        Change replicate = Change.single(r, q, e);
-                        double c = cost(replicate);
-                        if (c < least) {
-                            least = c;
-                            best = replicate;
-                        }
-                    }
-                    if (v == FREE || !held[hot][v] && mayTake(hot, v)) {
-                        Change swap = new Change(r, q, e, hot, p, v);
-                        double c = cost(swap);
-                        if (c < least) {
-                            least = c;
-                            best = swap;
-                        }
-                    }
+                if (v == FREE || !held[hot][v] && mayTake(hot, v)) {
+                    list.add(new Change(r, q, e, hot, place, v));
                 }
             }
         }
-        return Optional.ofNullable(best);
+        return list;
     }
 
     private boolean mayTake(int rank, int expert) {
--- /dev/null
+++ b/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherTest.java
@@ -0,0 +1,193 @@
+package org.citrontide.core.gateway;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+import org.citrontide.core.routes.ListedUpstream;
+import org.citrontide.core.routes.Route;
+import org.citrontide.core.verdict.Reason;
+import org.citrontide.core.verdict.Verdict;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Plays the faults of upstreams against the promises made to callers. */
+final class GatewayDispatcherTest {
+    private static final long MS = 1_000_000;
+    private static final AttemptOutcome FULL =
+            new AttemptOutcome.Rejected(AttemptOutcome.Rejected.Cause.FULL, Optional.empty());
+    private static final AttemptOutcome BROKEN = new AttemptOutcome.Broken(Reason.CONNECTION_LOST);
+
+    private final GatewayDispatcher dispatcher = new GatewayDispatcher(
+            "z1", () -> new RepeatAllowance(0.2, Duration.ofSeconds(10), 3), new SplittableRandom(1));
+    private long nowMs = 1000;
+
+    @BeforeEach
+    void list() {
+        on(new GatewayEvent.Listed(List.of(upstream("a", false), upstream("b", false), upstream("c", false))));
+    }
+
+    @Test
+    void aRequestThatRunsOnceIsNotSentAgainAfterItMayHaveRun() {
+        GatewayAction.Send first = send(arrive(1, Route.Repeat.ONCE));
+        GatewayAction end = only(end(first, BROKEN));
+        Verdict v = assertInstanceOf(GatewayAction.Refuse.class, end).verdict();
+        assertEquals(new Verdict.MayHaveRun(Reason.CONNECTION_LOST), v);
+    }
+
+    @Test
+    void aRequestThatRunsOnceIsSentElsewhereAfterItCertainlyDidNotRun() {
+        GatewayAction.Send first = send(arrive(1, Route.Repeat.ONCE));
+        GatewayAction.Send second = send(end(first, FULL));
+        assertNotEquals(first.upstream().id(), second.upstream().id());
+        GatewayAction end = only(end(second, FULL));
+        assertInstanceOf(Verdict.NotRun.class, assertInstanceOf(GatewayAction.Refuse.class, end).verdict());
+    }
+
+    @Test
+    void aRefusalNeverFollowsAnAttemptThatMayHaveRun() {
+        GatewayAction.Send first = send(arrive(1, Route.Repeat.IDEMPOTENT));
+        GatewayAction.Send second = send(end(first, BROKEN));
+        GatewayAction end = only(end(second, FULL));
+        assertInstanceOf(Verdict.MayHaveRun.class, assertInstanceOf(GatewayAction.Refuse.class, end).verdict());
+    }
+
+    @Test
+    void noRequestReachesMoreUpstreamsThanItsRouteAllows() {
+        GatewayAction.Send first = send(arrive(1, Route.Repeat.IDEMPOTENT));
+        GatewayAction.Send second = send(end(first, BROKEN));
+        assertInstanceOf(GatewayAction.Refuse.class, only(end(second, BROKEN)));
+    }
+
+    @Test
+    void anUpstreamThatCouldNotBeReachedCountsAsNoAttempt() {
+        GatewayAction.Send first = send(arrive(1, Route.Repeat.ONCE));
+        GatewayAction.Send second = send(end(first, new AttemptOutcome.Unreached()));
+        GatewayAction.Send third = send(end(second, new AttemptOutcome.Unreached()));
+        assertInstanceOf(GatewayAction.Deliver.class, only(end(third, new AttemptOutcome.Whole(200))));
+    }
+
+    @Test
+    void aFailureOfTheUpstreamIsPassedOnIfItCannotBeRepeated() {
+        GatewayAction.Send first = send(arrive(1, Route.Repeat.ONCE));
+        assertInstanceOf(GatewayAction.Deliver.class, only(end(first, new AttemptOutcome.Failed(500))));
+    }
+
+    @Test
+    void aStreamThatBreaksIsResumedAndOneThatCannotBeEndsBroken() {
+        GatewayAction.Send first = send(arrive(1, Route.Repeat.RESUMABLE));
+        on(new GatewayEvent.Progress(first.attempt(), true));
+        GatewayAction.Send second = send(end(first, BROKEN));
+        assertInstanceOf(GatewayAction.BreakOff.class, only(end(second, BROKEN)));
+    }
+
+    @Test
+    void theDeadlineEndsARequestAtOnceAndBreaksItsAttemptOff() {
+        GatewayAction.Send first = send(arrive(1, Route.Repeat.ONCE));
+        nowMs += 4000;
+        List<GatewayAction> out = on(new GatewayEvent.Tick());
+        assertEquals(new GatewayAction.Cancel(first.attempt()), out.getFirst());
+        Verdict v = assertInstanceOf(GatewayAction.Refuse.class, out.getLast()).verdict();
+        assertEquals(new Verdict.MayHaveRun(Reason.DEADLINE), v);
+        assertEquals(0, dispatcher.openRequests());
+    }
+
+    @Test
+    void aDrainingUpstreamGetsNoNewWork() {
+        on(new GatewayEvent.Listed(List.of(upstream("a", true), upstream("b", false), upstream("c", true))));
+        for (int i = 1; i <= 20; i++) {
+            assertEquals("b", send(arrive(i, Route.Repeat.ONCE)).upstream().id());
+        }
+    }
+
+    @Test
+    void withoutAnUpstreamARequestIsRefusedAtOnceWithATimeToComeBack() {
+        on(new GatewayEvent.Listed(List.of()));
+        GatewayAction.Refuse r = assertInstanceOf(GatewayAction.Refuse.class, only(arrive(1, Route.Repeat.ONCE)));
+        Verdict.NotRun v = assertInstanceOf(Verdict.NotRun.class, r.verdict());
+        assertTrue(v.retryAfter().toMillis() > 0 && v.retryAfter().toMillis() <= 4000 / 3, "" + v.retryAfter());
+    }
+
+    @Test
+    void aBrokenGroupIsNotTriedMemberByMember() {
+        GatewayAction.Send first = send(arrive(1, Route.Repeat.RESUMABLE));
+        AttemptOutcome broken =
+                new AttemptOutcome.Rejected(AttemptOutcome.Rejected.Cause.GROUP_BROKEN, Optional.empty());
+        GatewayAction.Refuse r = assertInstanceOf(GatewayAction.Refuse.class, only(end(first, broken)));
+        assertInstanceOf(Verdict.NotRun.class, r.verdict());
+    }
+
+    @Test
+    void aSilentStreamMovesOnOnlyWhileOthersGoOn() {
+        GatewayAction.Send silent = send(arrive(1, Route.Repeat.RESUMABLE));
+        GatewayAction.Send lively = send(arrive(2, Route.Repeat.RESUMABLE));
+        assertNotEquals(silent.upstream().id(), lively.upstream().id());
+        nowMs += 1000;
+        assertEquals(List.of(), on(new GatewayEvent.Tick()), "all are silent: the group pauses");
+        on(new GatewayEvent.Progress(lively.attempt(), true));
+        List<GatewayAction> out = on(new GatewayEvent.Tick());
+        assertEquals(new GatewayAction.Cancel(silent.attempt()), out.getFirst());
+        assertInstanceOf(GatewayAction.Send.class, out.getLast());
+    }
+
+    @Test
+    void requestsSpreadEvenlyOverUpstreamsAlike() {
+        List<String> chosen = new ArrayList<>();
+        for (int i = 1; i <= 30; i++) {
+            chosen.add(send(arrive(i, Route.Repeat.ONCE)).upstream().id());
+        }
+        for (String id : List.of("a", "b", "c")) {
+            assertEquals(10, chosen.stream().filter(id::equals).count(), "upstream " + id);
+        }
+    }
+
+    @Test
+    void anUpstreamThatFailsGetsLessAndRecovers() {
+        for (int i = 1; i <= 30; i++) {
+            GatewayAction.Send s = send(arrive(i, Route.Repeat.ONCE));
+            end(s, s.upstream().id().equals("a") ? BROKEN : new AttemptOutcome.Whole(200));
+        }
+        int toFailing = 0;
+        for (int i = 31; i <= 60; i++) {
+            GatewayAction.Send s = send(arrive(i, Route.Repeat.ONCE));
+            toFailing += s.upstream().id().equals("a") ? 1 : 0;
+        }
+        assertTrue(toFailing <= 8, toFailing + " of 30 to the failing upstream");
+    }
+
+    private List<GatewayAction> arrive(long id, Route.Repeat repeat) {
+        Route route = new Route(
+                "r", "h", "/", List.of(new Route.Split("s", 1)), repeat, repeat == Route.Repeat.RESUMABLE,
+                Duration.ofSeconds(4), Duration.ofMillis(300), Duration.ZERO, 2, 0, false);
+        return on(new GatewayEvent.Arrived(
+                new GatewayRequest(id, route, "s", "t", 0, 0, 0, nowMs * MS, (nowMs + 4000) * MS)));
+    }
+
+    private List<GatewayAction> end(GatewayAction.Send s, AttemptOutcome outcome) {
+        return on(new GatewayEvent.Ended(s.attempt(), outcome));
+    }
+
+    private List<GatewayAction> on(GatewayEvent e) {
+        return dispatcher.on(e, nowMs * MS);
+    }
+
+    private static GatewayAction.Send send(List<GatewayAction> out) {
+        return assertInstanceOf(GatewayAction.Send.class, only(out));
+    }
+
+    private static GatewayAction only(List<GatewayAction> out) {
+        assertEquals(1, out.size(), () -> out.toString());
+        return out.getFirst();
+    }
+
+    private static ListedUpstream upstream(String id, boolean draining) {
+        return new ListedUpstream(id, "s", "10.0.0.1", 80, "z1", 4, draining, 0);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/citrontide/core/gateway/MembershipViewTest.java
@@ -0,0 +1,51 @@
+package org.citrontide.core.gateway;
+
+import java.util.List;
+
+import org.citrontide.core.routes.ListedUpstream;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Checks what becomes of upstreams whose entries go. */
+final class MembershipViewTest {
+    private static final long SECOND = 1_000_000_000L;
+
+    private final MembershipView view = new MembershipView();
+
+    @Test
+    void anEntryRemovedWhileTheStoreWorksIsGoneAtOnce() {
+        view.written(upstream("a", false));
+        view.removed("a", SECOND);
+        assertEquals(List.of(), view.upstreams());
+    }
+
+    @Test
+    void anEntryThatLapsedWhileTheStoreWasAwayStaysUntilItsUpstreamHadTimeToReturn() {
+        view.written(upstream("a", false));
+        view.written(upstream("b", false));
+        view.storeAway();
+        view.storeAnswers(10 * SECOND);
+        view.replaceAll(List.of(), 10 * SECOND);
+        assertEquals(2, view.upstreams().size());
+        view.written(upstream("a", false));
+        assertFalse(view.expire(11 * SECOND));
+        assertTrue(view.expire(13 * SECOND));
+        assertEquals(List.of(upstream("a", false)), view.upstreams());
+    }
+
+    @Test
+    void aDrainingUpstreamIsNotKept() {
+        view.written(upstream("a", true));
+        view.storeAway();
+        view.storeAnswers(10 * SECOND);
+        view.removed("a", 10 * SECOND);
+        assertEquals(List.of(), view.upstreams());
+    }
+
+    private static ListedUpstream upstream(String id, boolean draining) {
+        return new ListedUpstream(id, "s", "10.0.0.1", 80, "z", 4, draining, 0);
+    }
+}
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
@@ -31,6 +31,8 @@
     private final Leadership leadership;
     private final MapShell maps;
     private boolean leads;
+    private boolean stopping;
+    private boolean resigned;
     private volatile boolean holding;
 
     ControlPlane(GatewaySettings settings, EventLoop loop, RandomGenerator random, GatewayShell shell) {
@@ -39,7 +41,7 @@
         HttpCaller caller = new HttpCaller(loop);
         this.mirror = new StoreMirror(caller, settings.storeAddress(), loop, random, this);
         this.leadership = new Leadership(caller, settings.storeAddress(), loop, random, settings.vm(), this);
-        this.maps = new MapShell(caller, loop);
+        this.maps = new MapShell(caller, loop, leadership::check);
     }
 
     void start() {
@@ -47,8 +49,10 @@
         tick();
     }
 
+    /** Gives up the lead as soon as no change of map holds a group. */
     void stop() {
-        leadership.resign();
+        stopping = true;
+        resignIfPossible();
     }
 
     boolean isLoaded() {
@@ -92,7 +96,15 @@
         leadership.check();
         maps.tick();
         holding = maps.isHolding();
+        resignIfPossible();
         Duration pause = leads || holding ? LEADER_TICK : FOLLOWER_TICK;
         loop.schedule(this::tick, pause.toMillis(), TimeUnit.MILLISECONDS);
     }
+
+    private void resignIfPossible() {
+        if (stopping && !resigned && !maps.isHolding()) {
+            resigned = true;
+            leadership.resign();
+        }
+    }
 }
--- a/gateway/src/main/java/org/citrontide/gateway/maps/MapShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/maps/MapShell.java
@@ -51,6 +51,7 @@
     private final Map<String, GroupMapController> controllers = new HashMap<>();
     private final Map<String, EngineProfile> profiles = new HashMap<>();
     private Map<String, ListedUpstream> upstreams = Map.of();
+    private final Runnable leaseCheck;
     private Optional<Long> term = Optional.empty();
 
     /**
@@ -58,10 +59,13 @@
      *
      * @param caller sends calls to the upstreams
      * @param loop event loop
+     * @param leaseCheck calls {@link #deposed} if the lease is over; run before each event, since a process may have
+     *     been suspended just before it
      */
-    public MapShell(HttpCaller caller, EventLoop loop) {
+    public MapShell(HttpCaller caller, EventLoop loop, Runnable leaseCheck) {
         this.caller = caller;
         this.loop = loop;
+        this.leaseCheck = leaseCheck;
     }
 
     /**
@@ -137,6 +141,7 @@
     }
 
     private void handle(String service, MapEvent event) {
+        leaseCheck.run();
         for (MapAction action : controllers.get(service).on(event, System.nanoTime())) {
             switch (action) {
                 case MapAction.ReadReport r -> readReport(service, r.upstream());
