--- a/core/src/main/java/org/citrontide/core/expertmap/DemandEstimate.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/DemandEstimate.java
@@ -52,7 +52,7 @@
             return false;
         }
         for (int s = 0; s < sets; s++) {
-            fold(s);
+            foldSet(s);
         }
         fresh = new long[fresh.length];
         isKnown = true;
@@ -71,7 +71,7 @@
         return loads;
     }
 
-    private void fold(int s) {
+    private void foldSet(int s) {
         double sum = 0;
         for (int e = 0; e < experts; e++) {
             sum += fresh[s * experts + e];
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
@@ -179,25 +179,30 @@
                 case AttemptOutcome.Failed f -> a.upstream.failed(nowNanos);
                 case AttemptOutcome.Broken b -> a.upstream.failed(nowNanos);
                 case AttemptOutcome.Unreached u -> a.upstream.unreached(nowNanos);
-                case AttemptOutcome.Rejected r -> {
-                    switch (r.cause()) {
-                        case FULL -> a.upstream.pause(FULL_PAUSE.toNanos(), nowNanos);
-                        case MISDIRECTED -> a.upstream.pause(MISDIRECTED_PAUSE.toNanos(), nowNanos);
-                        case GROUP_BROKEN, UNACCEPTABLE -> a.upstream.progressed(nowNanos);
-                    }
-                }
+                case AttemptOutcome.Rejected r -> pause(a.upstream, r.cause());
             }
         }
 
+        private void pause(UpstreamState u, AttemptOutcome.Rejected.Cause cause) {
+            Duration time = switch (cause) {
+                case FULL -> FULL_PAUSE;
+                case MISDIRECTED -> MISDIRECTED_PAUSE;
+                case GROUP_BROKEN, UNACCEPTABLE -> Duration.ZERO;
+            };
+            u.pause(time.toNanos(), nowNanos);
+        }
+
         private void settle(OpenGatewayRequest o, OpenGatewayRequest.Attempt a, AttemptOutcome outcome) {
             switch (outcome) {
                 case AttemptOutcome.Whole w -> deliver(o, a);
                 case AttemptOutcome.Failed f -> {
-                    if (!o.begun && (!o.request.route().isRepeatable() || !mayRepeat(o))) {
-                        deliver(o, a);
+                    o.mayHaveRun = Optional.of(Reason.ANSWER_BROKEN);
+                    if (o.request.route().isRepeatable() && tryRepeat(o)) {
+                        send(o, Reason.ANSWER_BROKEN);
+                    } else if (o.begun) {
+                        giveUp(o, Reason.ANSWER_BROKEN);
                     } else {
-                        o.mayHaveRun = Optional.of(Reason.ANSWER_BROKEN);
-                        repeatOrGiveUp(o, Reason.ANSWER_BROKEN);
+                        deliver(o, a);
                     }
                 }
                 case AttemptOutcome.Unreached u -> {
@@ -225,8 +230,12 @@
                             .isPresent();
         }
 
+        private boolean tryRepeat(OpenGatewayRequest o) {
+            return mayRepeat(o) && allowance(o.request.service()).tryRepeat(nowNanos);
+        }
+
         private void repeatOrGiveUp(OpenGatewayRequest o, Reason reason) {
-            if (mayRepeat(o) && allowance(o.request.service()).tryRepeat(nowNanos)) {
+            if (tryRepeat(o)) {
                 send(o, reason);
             } else {
                 giveUp(o, reason);
--- a/core/src/main/java/org/citrontide/core/gateway/RepeatAllowance.java
+++ b/core/src/main/java/org/citrontide/core/gateway/RepeatAllowance.java
@@ -5,8 +5,8 @@
 import java.util.Deque;
 
 /**
- * Bounds what one gateway sends to a service beyond the first attempt of each request, so that retries can't multiply an
- * overload.
+ * Bounds what one gateway sends to a service beyond the first attempt of each request, so that retries can't multiply
+ * an overload.
  *
  * <p>Invariant: in any window the repeats are at most the ratio of the requests of that window plus this gateway's part
  * of the slack. Not thread-safe.
--- a/core/src/main/java/org/citrontide/core/lease/LeaseTerm.java
+++ b/core/src/main/java/org/citrontide/core/lease/LeaseTerm.java
@@ -6,8 +6,8 @@
 /**
  * The time for which a process may rely on a lease.
  *
- * <p>Invariant: it ends before the store lets the lease end. It counts from before the call was sent, and on the time of
- * day as well as on the monotonic clock, because the latter stands still while the machine is suspended. Not
+ * <p>Invariant: it ends before the store lets the lease end. It counts from before the call was sent, and on the time
+ * of day as well as on the monotonic clock, because the latter stands still while the machine is suspended. Not
  * thread-safe; clocks are passed in.
  */
 public final class LeaseTerm {
--- a/core/src/test/java/org/citrontide/core/expertmap/FakeGroup.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/FakeGroup.java
@@ -11,7 +11,7 @@
  */
 final class FakeGroup {
     static final int REPORT_LAG_MS = 200;
-    private static final int PASS_MS = 20;
+    private static final int PASS_MS = 60;
     private static final int COPY_MS = 60;
 
     /** One rank. */
@@ -186,7 +186,7 @@
             }
             int hot = (int) (nowMs / 3000 * 5 % experts);
             for (int e = 0; e < experts; e++) {
-                r.counts[e] += e == hot || e == (hot + size) % experts ? 800 : 20;
+                r.counts[e] += e == hot || e == (hot + size) % experts ? 2400 : 60;
             }
         }
         long before = ranks.getFirst().map.version();
--- a/core/src/test/java/org/citrontide/core/expertmap/GroupMapControllerTest.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/GroupMapControllerTest.java
@@ -35,6 +35,7 @@
         assertEquals("", w.group.violation());
         assertTrue(w.group.changes() >= 4, w.group.changes() + " changes");
         assertTrue(w.group.longestHoldMs() < 50, "held for " + w.group.longestHoldMs() + " ms");
+        assertEquals(0, w.abandoned, "changes abandoned in a calm group");
     }
 
     @Test
@@ -75,6 +76,7 @@
         private int holder = -1;
         private long heldUntilMs;
         private long term;
+        private int abandoned;
 
         private World(long seed, double unanswered, boolean faulty) {
             this.random = new SplittableRandom(seed);
@@ -180,9 +182,7 @@
                     case MapAction.ReadExperts r -> answer(process, incarnation, group.listed(rank(r.upstream())));
                     case MapAction.Plan p -> answer(process, incarnation, new MapEvent.Planned(p.search(20)));
                     case MapAction.Send s -> send(process, incarnation, s);
-                    case MapAction.Note n -> {
-                        // Of use in logs only.
-                    }
+                    case MapAction.Note n -> abandoned += n.event().equals("map-change-abandoned") ? 1 : 0;
                 }
             }
         }
--- a/dist/src/test/java/org/citrontide/dist/PlatformNamesTest.java
+++ b/dist/src/test/java/org/citrontide/dist/PlatformNamesTest.java
@@ -17,7 +17,8 @@
     private static final Path TOP = Path.of("..").toAbsolutePath().normalize();
     private static final Pattern NAMES =
             Pattern.compile("kv-(key|range|watch|txn|lease|keep)|/-/|Citrontide-(Attempt-Id"
-                    + "|Deadline-Ms|Response-Stamp|Not-Executed|Expect-|Tenant|Request-Priority|Token-Count|Prompt-Prefix"
+                    + "|Deadline-Ms|Response-Stamp|Not-Executed|Expect-|Tenant|Request-Priority|Token-Count"
+                    + "|Prompt-Prefix"
                     + "|Length-Hint|Instance-Id|Model|Weight)|At-Server|api_keys|heartbeat_ms|traffic_split|can_resume"
                     + "|target_latency_ms|cold_remaining_ms|kv_capacity_tokens|fencing_token|op/config|\"servers/");
     private static final List<String> PRODUCTION =
--- a/fakes/src/main/java/org/citrontide/fakes/net/TestPorts.java
+++ b/fakes/src/main/java/org/citrontide/fakes/net/TestPorts.java
@@ -26,6 +26,7 @@
      * Chooses a port on which nothing listens.
      *
      * @return TCP port
+     * @throws IllegalStateException if no free port is found
      */
     public static synchronized int next() {
         for (int i = 0; i < TRIES; i++) {
--- a/fakes/src/main/java/org/citrontide/fakes/platform/FakeHttpUpstream.java
+++ b/fakes/src/main/java/org/citrontide/fakes/platform/FakeHttpUpstream.java
@@ -15,8 +15,8 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
- * An upstream that writes whatever bytes its script says, so that tests can send what no HTTP library would. Safe for use
- * by many threads.
+ * An upstream that writes whatever bytes its script says, so that tests can send what no HTTP library would. Safe for
+ * use by many threads.
  */
 public final class FakeHttpUpstream implements AutoCloseable {
     private final ServerSocket socket;
--- a/fakes/src/main/java/org/citrontide/fakes/platform/FakePlatformStore.java
+++ b/fakes/src/main/java/org/citrontide/fakes/platform/FakePlatformStore.java
@@ -126,14 +126,11 @@
     private FakeServer.Reply serve(FakeServer.Call call) throws IOException, InterruptedException {
         synchronized (this) {
             calls++;
-            switch (mode) {
-                case REFUSING -> {
-                    return FakeServer.Reply.status(UNAVAILABLE);
-                }
-                case SILENT -> throw new IOException("the store is silent");
-                case UP -> {
-                    // Served below.
-                }
+            if (mode == Mode.REFUSING) {
+                return FakeServer.Reply.status(UNAVAILABLE);
+            }
+            if (mode == Mode.SILENT) {
+                throw new IOException("the store is silent");
             }
         }
         String target = call.target();
--- a/gateway/src/main/java/org/citrontide/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/caller/CallerConnection.java
@@ -32,8 +32,8 @@
 /**
  * A caller's connection: reads whole requests, hands over one at a time, and writes their answers in order.
  *
- * <p>Invariants: an answer goes only to the request that is due; an answer that broke off ends with a closed connection,
- * so that it can't be taken for whole. Not thread-safe: owned by the event loop.
+ * <p>Invariants: an answer goes only to the request that is due; an answer that broke off ends with a closed
+ * connection, so that it can't be taken for whole. Not thread-safe: owned by the event loop.
  */
 public final class CallerConnection extends ChannelInboundHandlerAdapter {
     // Callers send one request at a time; more in advance than this is a flood.
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
@@ -39,7 +40,7 @@
         this.loop = loop;
         this.shell = shell;
         HttpCaller caller = new HttpCaller(loop);
-        this.mirror = new StoreMirror(caller, settings.storeAddress(), loop, random, this);
+        this.mirror = new StoreMirror(caller, settings.storeAddress(), settings.peers(), loop, random, this);
         this.leadership = new Leadership(caller, settings.storeAddress(), loop, random, settings.vm(), this);
         this.maps = new MapShell(caller, loop, leadership::check);
     }
@@ -55,6 +56,10 @@
         resignIfPossible();
     }
 
+    Optional<byte[]> storePage() {
+        return mirror.page();
+    }
+
     boolean isLoaded() {
         return mirror.isLoaded();
     }
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayDaemon.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayDaemon.java
@@ -11,8 +11,9 @@
 /**
  * A gateway as a process: takes callers' requests and sends them to upstreams over HTTP.
  *
- * <p>Invariant: a planned stop first turns readiness off, goes on accepting until the balancer has seen it, and ends once
- * every open request has its answer or the limit has passed. Safe for use by many threads.
+ * <p>Invariant: a planned stop first turns readiness off, goes on serving until the balancer has seen it, then refuses
+ * what still comes, and ends once every open request has its answer or the limit has passed. Safe for use by many
+ * threads.
  */
 public final class GatewayDaemon {
     private static final EventLog LOG = EventLog.of(GatewayDaemon.class);
@@ -44,7 +45,10 @@
      * @throws IOException if an address can't be used
      */
     public void start() throws IOException {
-        parts.adminPages().listen(settings.adminAddress());
+        parts.adminServer().listen(settings.adminAddress());
+        if (settings.peerAddress().isPresent()) {
+            parts.peerServer().listen(settings.peerAddress().get());
+        }
         parts.callerServer().listen(settings.callerAddress());
         parts.loop().next().execute(() -> parts.controlPlane().start());
         LOG.info("started")
@@ -66,7 +70,10 @@
         while (System.nanoTime() < notice) {
             pause();
         }
-        parts.loop().next().execute(() -> parts.controlPlane().stop());
+        parts.loop().next().execute(() -> {
+            parts.shell().refuseNew();
+            parts.controlPlane().stop();
+        });
         while (System.nanoTime() < end
                 && (parts.shell().openRequests() > 0 || parts.controlPlane().isHolding())) {
             pause();
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
@@ -1,5 +1,6 @@
 package org.citrontide.gateway.daemon;
 
+import javax.inject.Named;
 import javax.inject.Singleton;
 
 import java.util.SplittableRandom;
@@ -15,6 +16,8 @@
 import org.citrontide.core.gateway.GatewayDispatcher;
 import org.citrontide.core.gateway.RepeatAllowance;
 import org.citrontide.gateway.admin.AdminPages;
+import org.citrontide.gateway.admin.PeerPages;
+import org.citrontide.gateway.admin.SmallHttpServer;
 import org.citrontide.gateway.caller.CallerServer;
 import org.citrontide.gateway.dispatch.GatewayMetrics;
 import org.citrontide.gateway.dispatch.GatewayShell;
@@ -54,8 +57,16 @@
 
     @Provides
     @Singleton
-    AdminPages adminPages(EventLoopGroup loop, PrometheusRegistry registry) {
-        return new AdminPages(loop, registry, ready);
+    @Named("admin")
+    SmallHttpServer adminServer(EventLoopGroup loop, PrometheusRegistry registry) {
+        return new SmallHttpServer(loop, new AdminPages(registry, ready));
+    }
+
+    @Provides
+    @Singleton
+    @Named("peers")
+    SmallHttpServer peerServer(EventLoopGroup loop, ControlPlane control) {
+        return new SmallHttpServer(loop, new PeerPages(control::storePage));
     }
 
     @Provides
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayParts.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayParts.java
@@ -1,10 +1,11 @@
 package org.citrontide.gateway.daemon;
 
+import javax.inject.Named;
 import javax.inject.Singleton;
 
 import dagger.Component;
 import io.netty.channel.EventLoopGroup;
-import org.citrontide.gateway.admin.AdminPages;
+import org.citrontide.gateway.admin.SmallHttpServer;
 import org.citrontide.gateway.caller.CallerServer;
 import org.citrontide.gateway.dispatch.GatewayShell;
 
@@ -14,7 +15,11 @@
 interface GatewayParts {
     EventLoopGroup loop();
 
-    AdminPages adminPages();
+    @Named("admin")
+    SmallHttpServer adminServer();
+
+    @Named("peers")
+    SmallHttpServer peerServer();
 
     CallerServer callerServer();
 
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewaySettings.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewaySettings.java
@@ -2,6 +2,8 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
 
 import org.citrontide.core.toml.Checked;
 import org.citrontide.core.toml.TomlSection;
@@ -15,6 +17,8 @@
  * @param callerAddress where callers' requests are accepted
  * @param adminAddress where readiness and metrics are served
  * @param storeAddress where the platform's store is
+ * @param peerAddress where peers may read this gateway's copy of the store, if anywhere
+ * @param peers addresses of peers that are asked while the store turns this gateway away
  * @param maxConnections most connections of callers
  * @param stopLimit longest time that a stop waits for running requests
  * @param repeatRatio repeats allowed for each request of a service
@@ -28,6 +32,8 @@
         InetSocketAddress callerAddress,
         InetSocketAddress adminAddress,
         InetSocketAddress storeAddress,
+        Optional<InetSocketAddress> peerAddress,
+        List<InetSocketAddress> peers,
         int maxConnections,
         Duration stopLimit,
         double repeatRatio,
@@ -46,6 +52,11 @@
     private static final int MAX_LABELS = 1000;
     private static final int DEFAULT_LABELS = 300;
 
+    /** Copies the list. */
+    public GatewaySettings {
+        peers = List.copyOf(peers);
+    }
+
     /**
      * Reads a settings file.
      *
@@ -60,13 +71,17 @@
         InetSocketAddress caller = ProcessSettings.address(root, "caller_address");
         InetSocketAddress admin = ProcessSettings.address(root, "admin_address");
         InetSocketAddress store = ProcessSettings.address(root, "store_address");
+        Optional<InetSocketAddress> peer = root.names().contains("peer_address")
+                ? Optional.of(ProcessSettings.address(root, "peer_address"))
+                : Optional.empty();
+        List<InetSocketAddress> peers = ProcessSettings.addresses(root, "peers");
         int connections = root.integer("max_connections", 1, MAX_CONNECTIONS, DEFAULT_CONNECTIONS);
         Duration stop = root.milliseconds("stop_limit_ms", 0, MAX_STOP_MS, DEFAULT_STOP_MS);
         double ratio = root.decimal("repeat_ratio", 0, 1, DEFAULT_RATIO);
         Duration window = root.milliseconds("repeat_window_ms", 1, MAX_WINDOW_MS, DEFAULT_WINDOW_MS);
         int slack = root.integer("repeat_slack", 0, MAX_SLACK, DEFAULT_SLACK);
         int labels = root.integer("max_team_labels", 0, MAX_LABELS, DEFAULT_LABELS);
-        return root.finish(() ->
-                new GatewaySettings(vm, zone, caller, admin, store, connections, stop, ratio, window, slack, labels));
+        return root.finish(() -> new GatewaySettings(
+                vm, zone, caller, admin, store, peer, peers, connections, stop, ratio, window, slack, labels));
     }
 }
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
@@ -52,6 +52,7 @@
     private final Map<CallerRequest, Long> ids = new HashMap<>();
     private RoutingTable table = RoutingTable.NONE;
     private boolean stopping;
+    private boolean refusing;
     private long nextRequest = 1;
 
     /**
@@ -75,6 +76,11 @@
         stopping = true;
     }
 
+    /** Refuses new requests from here on, since the process may end before they could be answered. */
+    public void refuseNew() {
+        refusing = true;
+    }
+
     /**
      * Returns the table in force.
      *
@@ -120,7 +126,7 @@
     public void arrived(CallerRequest r) {
         long now = System.nanoTime();
         RequestHead head = new RequestHead(r.target(), r.headers(), table);
-        Optional<Reason> refusal = GatewayFilter.checkAll(head);
+        Optional<Reason> refusal = refusing ? Optional.of(Reason.DRAINING) : GatewayFilter.checkAll(head);
         if (refusal.isPresent()) {
             Verdict verdict = new Verdict.NotRun(refusal.get(), TICK);
             log.refusedByFilter(r, table.version(), verdict);
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/Refusals.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/Refusals.java
@@ -15,8 +15,8 @@
 /**
  * Writes the gateway's own answers.
  *
- * <p>Invariant: 503 and 429 are sent only for requests that certainly did not run and never will; what may have run gets
- * 502 or 504. Stateless.
+ * <p>Invariant: 503 and 429 are sent only for requests that certainly did not run and never will; what may have run
+ * gets 502 or 504. Stateless.
  */
 final class Refusals {
     private static final String VERDICT = "Citrontide-Verdict";
--- a/gateway/src/main/java/org/citrontide/gateway/maps/MapShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/maps/MapShell.java
@@ -75,7 +75,7 @@
      */
     public void configured(RoutingTable table) {
         for (ServiceProfile s : table.services().values()) {
-            s.engine().filter(e -> e.sets() > 0).ifPresent(e -> configured(s.name(), e));
+            s.engine().filter(e -> e.sets() > 0).ifPresent(e -> control(s.name(), e));
         }
     }
 
@@ -121,7 +121,7 @@
         return controllers.values().stream().anyMatch(GroupMapController::isHolding);
     }
 
-    private void configured(String service, EngineProfile profile) {
+    private void control(String service, EngineProfile profile) {
         if (profile.equals(profiles.put(service, profile))) {
             return;
         }
@@ -159,7 +159,7 @@
     }
 
     private void readReport(String service, String id) {
-        call(id, EngineCalls.report(), READ_TIMEOUT, reply -> {
+        call(id, EngineCalls.readReport(), READ_TIMEOUT, reply -> {
             Optional<RankReport> report = Optional.empty();
             if (reply.isPresent() && reply.get().status() == OK) {
                 try {
@@ -173,7 +173,7 @@
     }
 
     private void readCounts(String service, String id) {
-        call(id, EngineCalls.counts(), READ_TIMEOUT, reply -> {
+        call(id, EngineCalls.readCounts(), READ_TIMEOUT, reply -> {
             Optional<MapEvent.Counts> counts = Optional.empty();
             if (reply.isPresent() && reply.get().status() == OK) {
                 try {
@@ -187,7 +187,7 @@
     }
 
     private void readExperts(String service, String id) {
-        call(id, EngineCalls.experts(), READ_TIMEOUT, reply -> {
+        call(id, EngineCalls.readExperts(), READ_TIMEOUT, reply -> {
             MapEvent.Listed listed = new MapEvent.Listed(id, 0, Optional.empty());
             if (reply.isPresent() && reply.get().status() == OK) {
                 try {
--- a/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
@@ -6,8 +6,10 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
@@ -27,8 +29,8 @@
 /**
  * Follows the store: one watch over all its keys brings the configuration and the list of upstreams.
  *
- * <p>Invariants: a version of the configuration is handed on only if it is higher than the last one; an entry that can't
- * be decoded names no upstream and leaves the others as they are. Not thread-safe: owned by the event loop.
+ * <p>Invariants: a version of the configuration is handed on only if it is higher than the last one; an entry that
+ * can't be decoded names no upstream and leaves the others as they are. Not thread-safe: owned by the event loop.
  */
 public final class StoreMirror {
     private static final EventLog LOG = EventLog.of(StoreMirror.class);
@@ -40,6 +42,9 @@
     private static final Duration TIMEOUT = Duration.ofMillis(1800);
     private static final Duration RETRY = Duration.ofMillis(150);
     private static final Duration RETRY_SPREAD = Duration.ofMillis(150);
+    // A peer's copy is of use if it is newer than what a store that fails could have told.
+    private static final Duration FRESH = Duration.ofMillis(2500);
+    private static final Duration PEER_TIMEOUT = Duration.ofMillis(500);
     private static final int OK = 200;
 
     /** Hears of what changed. */
@@ -74,6 +79,10 @@
     private final Listener listener;
     private final MembershipView members = new MembershipView();
     private final Set<String> reported = new HashSet<>();
+    private final Map<String, Item> copy = new TreeMap<>();
+    private final List<InetSocketAddress> peers;
+    private int failures;
+    private int nextPeer;
     private Optional<Long> revision = Optional.empty();
     private long version;
     private boolean isAway;
@@ -84,14 +93,21 @@
      *
      * @param caller sends the calls
      * @param store address of the store
+     * @param peers addresses of gateways that are asked for their copy while the store turns this one away
      * @param loop event loop
      * @param random spreads the retries of many processes
      * @param listener hears of changes
      */
     public StoreMirror(
-            HttpCaller caller, InetSocketAddress store, EventLoop loop, RandomGenerator random, Listener listener) {
+            HttpCaller caller,
+            InetSocketAddress store,
+            List<InetSocketAddress> peers,
+            EventLoop loop,
+            RandomGenerator random,
+            Listener listener) {
         this.caller = caller;
         this.store = store;
+        this.peers = List.copyOf(peers);
         this.loop = loop;
         this.random = random;
         this.listener = listener;
@@ -111,7 +127,22 @@
         return revision.isPresent();
     }
 
+    /**
+     * Returns what this mirror read of the store, for a peer.
+     *
+     * @return the items as an answer of the store, or empty if the store did not answer lately
+     */
+    public Optional<byte[]> page() {
+        boolean isFresh = !isAway && System.nanoTime() - answeredNanos < FRESH.toNanos();
+        return revision.filter(r -> isFresh).map(r -> MetadataStore.encodePage(copy.values(), r));
+    }
+
     private void next() {
+        if (failures > 0 && failures % 2 == 0 && !peers.isEmpty()) {
+            failures++;
+            askPeer();
+            return;
+        }
         if (revision.isEmpty()) {
             readAll("", new ArrayList<>());
         } else {
@@ -137,7 +168,42 @@
         });
     }
 
+    /** Asks one peer after the other: the store may turn away this process and serve others. */
+    private void askPeer() {
+        InetSocketAddress peer = peers.get(nextPeer++ % peers.size());
+        caller.call(peer, MetadataStore.range(ALL_KEYS, ""), PEER_TIMEOUT).whenComplete((reply, failure) -> {
+            if (failure == null && reply.status() == OK) {
+                try {
+                    takeFromPeer(peer, MetadataStore.page(reply.body()));
+                } catch (DecodeException e) {
+                    LOG.warn("peer-unreadable")
+                            .with("peer", peer)
+                            .with("why", e.getMessage())
+                            .write();
+                }
+            }
+            later(RETRY);
+        });
+    }
+
+    private void takeFromPeer(InetSocketAddress peer, MetadataStore.Page page) {
+        if (page.revision() <= revision.orElse(0L)) {
+            return;
+        }
+        LOG.info("store-read-from-peer")
+                .with("peer", peer)
+                .with("revision", page.revision())
+                .with("own-revision", revision.orElse(0L))
+                .write();
+        // The peer reads a store that works: what is missing there is gone.
+        members.storeAnswers(System.nanoTime());
+        loaded(page.items());
+        revision = Optional.of(page.revision());
+    }
+
     private void loaded(List<Item> items) {
+        copy.clear();
+        items.forEach(this::keep);
         List<ListedUpstream> upstreams = new ArrayList<>();
         for (Item i : items) {
             if (i.key().equals(ConfigurationDecoder.KEY)) {
@@ -165,7 +231,14 @@
         });
     }
 
+    private void keep(Item i) {
+        if (i.key().equals(ConfigurationDecoder.KEY) || i.key().startsWith(UpstreamDecoder.PREFIX)) {
+            copy.put(i.key(), i);
+        }
+    }
+
     private void changed(Change c) {
+        c.item().ifPresentOrElse(this::keep, () -> copy.remove(c.key()));
         if (c.key().equals(ConfigurationDecoder.KEY)) {
             c.item().ifPresent(this::configured);
         }
@@ -260,6 +333,7 @@
     }
 
     private void away(String why) {
+        failures++;
         members.storeAway();
         if (!isAway) {
             isAway = true;
@@ -269,6 +343,7 @@
     }
 
     private void back() {
+        failures = 0;
         members.storeAnswers(System.nanoTime());
         if (isAway) {
             isAway = false;
--- a/gateway/src/test/java/org/citrontide/gateway/GatewayTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/GatewayTest.java
@@ -1,21 +1,15 @@
 package org.citrontide.gateway;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
+import java.util.Optional;
 
 import org.citrontide.fakes.net.TestPorts;
 import org.citrontide.fakes.platform.FakeHttpUpstream;
 import org.citrontide.fakes.platform.FakeHttpUpstream.Script;
 import org.citrontide.fakes.platform.FakePlatformStore;
-import org.citrontide.gateway.daemon.GatewayDaemon;
-import org.citrontide.gateway.daemon.GatewaySettings;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -23,44 +17,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Plays a whole gateway over sockets against a stand-in of the platform's store and upstreams of odd manners. */
-final class GatewayTest {
-    private static final Duration PATIENCE = Duration.ofSeconds(20);
+final class GatewayTest extends GatewayHarness {
     private static final String EVENT = "id: %d\ndata: word-%d\n\n";
 
-    private final int callerPort = TestPorts.next();
-    private final int adminPort = TestPorts.next();
-    private final List<FakeHttpUpstream> upstreams = new ArrayList<>();
-    private FakePlatformStore store;
-    private GatewayDaemon daemon;
-
-    @BeforeEach
-    void start() throws IOException {
-        store = new FakePlatformStore();
-        daemon = new GatewayDaemon(
-                new GatewaySettings(
-                        "vm1",
-                        "z1",
-                        new InetSocketAddress("127.0.0.1", callerPort),
-                        new InetSocketAddress("127.0.0.1", adminPort),
-                        new InetSocketAddress("127.0.0.1", store.port()),
-                        100,
-                        Duration.ofSeconds(8),
-                        0.2,
-                        Duration.ofSeconds(10),
-                        600,
-                        10),
-                1);
-        daemon.start();
-    }
-
-    @AfterEach
-    void stop() throws IOException {
-        store.close();
-        for (FakeHttpUpstream u : upstreams) {
-            u.close();
-        }
-    }
-
     @Test
     void anAnswerComesBackWholeAndTheRequestGoesOutAsItShould() throws IOException {
         FakeHttpUpstream u = serve("a", (r, reply) -> reply.whole("200 OK", "hello"));
@@ -325,6 +284,32 @@
         }
     }
 
+    @Test
+    void aGatewayThatTheStoreTurnsAwayLearnsFromItsPeers() throws IOException {
+        FakeHttpUpstream a = serve("a", (r, reply) -> reply.whole("200 OK", "a"));
+        FakeHttpUpstream b = serve("b", (r, reply) -> reply.whole("200 OK", "b"));
+        store.setMode(FakePlatformStore.Mode.REFUSING);
+        try (FakePlatformStore others = new FakePlatformStore();
+                RawCaller c = new RawCaller(callerPort)) {
+            // Stands for the same store, which goes on for the peer.
+            for (int i = 0; i < 100; i++) {
+                others.put("servers/b", b.entry("svc", "ready"));
+            }
+            others.put("servers/a", a.entry("svc", "draining"));
+            others.put("op/config", configuration(9).replace("key-1", "key-2").replace("/stream/", "/flow/"));
+            gateway(TestPorts.next(), TestPorts.next(), others, Optional.of(local(peerPort)), List.of())
+                    .start();
+            await("the key is taken away", () -> status(c, "/look/") == 401);
+            int served = a.received().size();
+            for (int i = 1; i <= 10; i++) {
+                c.write("GET /look/ HTTP/1.1\r\nHost: h.example\r\nCitrontide-Attempt-Id: new-" + i
+                        + "\r\nAuthorization: Bearer key-2\r\n\r\n");
+                assertEquals("b", c.read().body());
+            }
+            assertEquals(served, a.received().size());
+        }
+    }
+
     @Test
     void entriesThatAreDamagedNameNoUpstreamAndHarmNoOther() throws IOException {
         FakeHttpUpstream a = serve("a", (r, reply) -> reply.whole("200 OK", "a"));
@@ -343,28 +328,6 @@
                 .allMatch(r -> r.header("Citrontide-Expect-Instance").equals("a")));
     }
 
-    @Test
-    void aPlannedStopFinishesWhatRunsAndTellsTheBalancerFirst() throws Exception {
-        serve("a", (r, reply) -> {
-            pause(1500);
-            reply.whole("200 OK", "late but whole");
-        });
-        try (RawCaller c = new RawCaller(callerPort)) {
-            c.request("POST", "/book/", "id-1", "");
-            pause(100);
-            Thread stopper = Thread.ofVirtual().start(daemon::stop);
-            await("readiness is off", () -> readiness() == 503);
-            try (RawCaller late = new RawCaller(callerPort)) {
-                late.request("POST", "/book/", "id-2", "");
-                RawCaller.Answer answer = c.read();
-                assertEquals("late but whole", answer.body());
-                assertEquals("close", answer.header("Connection"));
-                assertEquals("late but whole", late.read().body());
-            }
-            stopper.join();
-        }
-    }
-
     private static void answerOrReject(boolean isFirst, FakeHttpUpstream.Reply reply) throws IOException {
         if (isFirst) {
             reply.raw("HTTP/1.1 503 Service Unavailable\r\nCitrontide-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
@@ -372,64 +335,4 @@
             reply.whole("200 OK", "ran");
         }
     }
-
-    /** Adds an upstream and waits until the gateway is ready and knows it. */
-    private FakeHttpUpstream serve(String id, Script script) throws IOException {
-        FakeHttpUpstream u = new FakeHttpUpstream(id, script);
-        upstreams.add(u);
-        store.put("servers/" + id, u.entry("svc", "ready"));
-        store.put("op/config", configuration(7));
-        long before = store.calls();
-        await("the gateway knows " + id, () -> store.calls() >= before + 3 && readiness() == 200);
-        return u;
-    }
-
-    private static String configuration(int version) {
-        String routes = route("book", "unsafe", "") + "," + route("look", "safe", "") + ","
-                + route("stream", "streaming", ",\"can_resume\":true,\"target_gap_ms\":120");
-        return "{\"version\":" + version + ",\"routes\":[" + routes
-                + "],\"services\":[{\"name\":\"svc\",\"max_connections\":50}],\"limits\":{\"max_header_bytes\":2048,"
-                + "\"max_body_bytes\":65536,\"header_timeout_ms\":700,\"idle_timeout_ms\":15000},"
-                + "\"tenants\":[{\"name\":\"rangers\",\"api_keys\":[\"key-1\"]}]}";
-    }
-
-    private static String route(String name, String kind, String more) {
-        return "{\"name\":\"" + name + "\",\"hostname\":\"h.example\",\"prefix\":\"/" + name + "/\",\"kind\":\"" + kind
-                + "\",\"timeout_ms\":4000,\"target_latency_ms\":400,\"priority\":1,\"service\":\"svc\","
-                + "\"max_attempts\":2" + more + "}";
-    }
-
-    private int readiness() {
-        try (RawCaller c = new RawCaller(adminPort)) {
-            c.write("GET /-/readiness HTTP/1.1\r\nHost: x\r\n\r\n");
-            return c.read().status();
-        } catch (IOException e) {
-            return -1;
-        }
-    }
-
-    private static int status(RawCaller c, String target) {
-        try {
-            c.request("GET", target, "id-" + System.nanoTime(), "");
-            return c.read().status();
-        } catch (IOException e) {
-            return -1;
-        }
-    }
-
-    private static void await(String what, BooleanSupplier condition) {
-        long end = System.nanoTime() + PATIENCE.toNanos();
-        while (!condition.getAsBoolean()) {
-            assertTrue(System.nanoTime() < end, "waited in vain until " + what);
-            pause(10);
-        }
-    }
-
-    private static void pause(long ms) {
-        try {
-            TimeUnit.MILLISECONDS.sleep(ms);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
 }
--- /dev/null
+++ b/gateway/src/test/java/org/citrontide/gateway/PlannedStopTest.java
@@ -0,0 +1,55 @@
+package org.citrontide.gateway;
+
+import org.citrontide.fakes.platform.FakeHttpUpstream;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+/** Plays planned stops of a whole gateway. */
+final class PlannedStopTest extends GatewayHarness {
+    @Test
+    void aPlannedStopFinishesWhatRunsAndTellsTheBalancerFirst() throws Exception {
+        serve("a", (r, reply) -> {
+            pause(1500);
+            reply.whole("200 OK", "late but whole");
+        });
+        try (RawCaller c = new RawCaller(callerPort)) {
+            c.request("POST", "/book/", "id-1", "");
+            pause(100);
+            Thread stopper = Thread.ofVirtual().start(daemon::stop);
+            await("readiness is off", () -> readiness() == 503);
+            try (RawCaller late = new RawCaller(callerPort)) {
+                late.request("POST", "/book/", "id-2", "");
+                RawCaller.Answer answer = c.read();
+                assertEquals("late but whole", answer.body());
+                assertEquals("close", answer.header("Connection"));
+                assertEquals("late but whole", late.read().body());
+            }
+            stopper.join();
+        }
+    }
+
+    @Test
+    void aRequestThatComesLateInAStopIsRefusedAsNotRunAndNotGivenUp() throws Exception {
+        FakeHttpUpstream u = serve("a", (r, reply) -> {
+            pause(5000);
+            reply.whole("200 OK", "long work");
+        });
+        try (RawCaller c = new RawCaller(callerPort)) {
+            c.write("POST /book/ HTTP/1.1\r\nHost: h.example\r\nCitrontide-Attempt-Id: id-1\r\n"
+                    + "Authorization: Bearer key-1\r\nContent-Length: 0\r\n\r\n");
+            await("the request arrives", () -> u.received().size() == 1);
+            Thread stopper = Thread.ofVirtual().start(daemon::stop);
+            pause(3600);
+            try (RawCaller late = new RawCaller(callerPort)) {
+                late.request("POST", "/book/", "id-2", "");
+                RawCaller.Answer refusal = late.read();
+                assertEquals(503, refusal.status());
+                assertFalse(refusal.header("Retry-After").isEmpty());
+            }
+            assertEquals(1, u.received().size());
+            stopper.join();
+        }
+    }
+}
--- a/runtime/src/main/java/org/citrontide/runtime/settings/ProcessSettings.java
+++ b/runtime/src/main/java/org/citrontide/runtime/settings/ProcessSettings.java
@@ -107,7 +107,14 @@
         return port <= 65_535 ? Optional.of(new InetSocketAddress(host, port)) : Optional.empty();
     }
 
-    private static List<InetSocketAddress> addresses(TomlSection s, String key) {
+    /**
+     * Reads a list of addresses.
+     *
+     * @param s the table
+     * @param key its key
+     * @return the addresses, none if the key is absent
+     */
+    public static List<InetSocketAddress> addresses(TomlSection s, String key) {
         List<InetSocketAddress> list = new ArrayList<>();
         for (String text : s.strings(key)) {
             Optional<InetSocketAddress> a = parse(text);
