Keep a change of map from making streams wait, and use the known demand when a group forms again

Change: the pass is chosen as late as the rate of unanswered orders asks for; orders time out after 70 ms; a pass that does not begin is let begin again (all ranks are armed for it). A group that forms again keeps the estimate of demand.

--- a/core/src/main/java/org/citrontide/core/expertmap/DemandEstimate.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/DemandEstimate.java
@@ -42,6 +42,15 @@
         }
     }
 
+    /** Forgets the counts that differences are taken from, but not the estimate. */
+    void countsBeginAnew() {
+        lastByRank.clear();
+    }
+
+    boolean isKnown() {
+        return isKnown;
+    }
+
     /** Folds the counts since the last call into the estimate; returns false if there were too few. */
     boolean fold(long leastPerSet) {
         long total = 0;
--- a/core/src/main/java/org/citrontide/core/expertmap/GroupChange.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/GroupChange.java
@@ -31,8 +31,6 @@
     // A rank copies its new experts in well under a second.
     private static final Duration PREPARE_LIMIT = Duration.ofSeconds(4);
     private static final Duration HOLD_LIMIT = Duration.ofSeconds(2);
-    // Time for an order to reach every rank before the held pass is due.
-    private static final Duration ARM_AHEAD = Duration.ofMillis(60);
     private static final int MAX_HOLDS_REFUSED = 5;
     private static final int HOLD_STEPS_MORE = 2;
 
@@ -57,6 +55,7 @@
     private final List<String> ranks;
     private final int epoch;
     private final PassClock passes;
+    private final AnswerRate answers;
     private final long version;
     private final Optional<GroupMap> map;
     private final OrderRound orders = new OrderRound();
@@ -69,30 +68,39 @@
     private int holdsRefused;
     private boolean isArmed;
 
-    private GroupChange(List<String> ranks, int epoch, PassClock passes, long version, Optional<GroupMap> map) {
+    private GroupChange(
+            List<String> ranks, int epoch, PassClock passes, AnswerRate answers, long version, Optional<GroupMap> map) {
         this.ranks = ranks;
         this.epoch = epoch;
         this.passes = passes;
+        this.answers = answers;
         this.version = version;
         this.map = map;
     }
 
     /** Begins a change. */
     static GroupChange begin(
-            List<String> ranks, int epoch, PassClock passes, GroupMap map, Duration copyTime, Turn turn) {
-        GroupChange c = new GroupChange(ranks, epoch, passes, map.version(), Optional.of(map));
+            List<String> ranks,
+            int epoch,
+            PassClock passes,
+            AnswerRate answers,
+            GroupMap map,
+            Duration copyTime,
+            Turn turn) {
+        GroupChange c = new GroupChange(ranks, epoch, passes, answers, map.version(), Optional.of(map));
         c.start(State.PREPARING, ranks, turn);
         c.dueNanos = turn.nowNanos() + copyTime.plus(POLL_INTERVAL).toNanos();
         return c;
     }
 
     /** Goes on with a change that a round of reports shows under way: some rank holds a pass. */
-    static GroupChange resume(List<String> ranks, int epoch, PassClock passes, GroupReports reports, Turn turn) {
+    static GroupChange resume(
+            List<String> ranks, int epoch, PassClock passes, AnswerRate answers, GroupReports reports, Turn turn) {
         List<String> armed = reports.armed(ranks);
         Optional<Long> ready = reports.preparedOnAll(ranks);
         long version = ready.orElseGet(
                 () -> armed.isEmpty() ? 0 : reports.of(armed.getFirst()).armed().orElseThrow());
-        GroupChange c = new GroupChange(ranks, epoch, passes, version, Optional.empty());
+        GroupChange c = new GroupChange(ranks, epoch, passes, answers, version, Optional.empty());
         c.holder = reports.holding(ranks).getFirst();
         c.holdStep = reports.of(c.holder).heldStep().orElseThrow();
         turn.note(
@@ -172,6 +180,11 @@
         }
     }
 
+    /** Returns the rank that held the pass. */
+    String holder() {
+        return holder;
+    }
+
     void replied(String id, RankOrder order, RankReply reply, Turn turn) {
         if (!orders.isOpen(id) || !order.equals(order())) {
             return;
@@ -206,7 +219,7 @@
     }
 
     private void hold(int more, Turn turn) {
-        holdStep = passes.after(ARM_AHEAD, turn.nowNanos()) + more;
+        holdStep = passes.after(answers.roundTime(ranks.size()), turn.nowNanos()) + more;
         holder = ranks.get((int) (holdStep % ranks.size()));
         start(State.HOLDING, List.of(holder), turn);
     }
--- a/core/src/main/java/org/citrontide/core/expertmap/GroupMapController.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/GroupMapController.java
@@ -28,6 +28,8 @@
     private static final int MISSES_TO_OBSERVE = 2;
     // About three seconds without a pass: the group is idle or held.
     private static final int STILL_READS_TO_OBSERVE = 12;
+    // A group that is idle begins no pass for a long time.
+    private static final int MANY_WAITS = 8;
     private static final int VERSIONS_PER_TERM = 1_000_000;
 
     private enum Phase {
@@ -53,11 +55,14 @@
     private List<String> ranks = List.of();
     private int epoch;
     private final PassClock passes = new PassClock();
+    private final AnswerRate answers = new AnswerRate();
     private Optional<MapDecision> decision = Optional.empty();
     private Optional<GroupMap> current = Optional.empty();
     private Optional<GroupMap> next = Optional.empty();
     private Optional<GroupChange> change = Optional.empty();
     private long inForceFrom;
+    private String lastHolder = "";
+    private int waits;
     private int misses;
 
     /**
@@ -89,7 +94,10 @@
             case MapEvent.Reported r -> reported(r, turn);
             case MapEvent.Listed l -> listed(l, turn);
             case MapEvent.Counted c -> counted(c, turn);
-            case MapEvent.Replied r -> change.ifPresent(c -> c.replied(r.upstream(), r.order(), r.reply(), turn));
+            case MapEvent.Replied r -> {
+                answers.note(r.reply() != RankReply.UNANSWERED);
+                change.ifPresent(c -> c.replied(r.upstream(), r.order(), r.reply(), turn));
+            }
             case MapEvent.Planned p -> planned(p.map(), turn);
             case MapEvent.Tick t -> tick(turn);
         }
@@ -180,7 +188,7 @@
         if (!reports.holding(ranks).isEmpty()) {
             enter(Phase.CHANGING, turn);
             next = Optional.empty();
-            change = Optional.of(GroupChange.resume(ranks, epoch, passes, reports, turn));
+            change = Optional.of(GroupChange.resume(ranks, epoch, passes, answers, reports, turn));
             return;
         }
         Set<Long> versions = reports.versionsInForce(ranks);
@@ -207,10 +215,13 @@
                 .toArray();
         passes.reset(first.step(), turn.nowNanos());
         inForceFrom = 0;
-        if (first.epoch() != epoch || decision.isEmpty()) {
+        if (first.epoch() != epoch) {
             epoch = first.epoch();
             current = Optional.empty();
-            decision = Optional.of(new MapDecision(profile, speeds, turn.nowNanos()));
+            decision.ifPresent(MapDecision::countsBeginAnew);
+        }
+        if (decision.isEmpty()) {
+            decision = Optional.of(new MapDecision(profile, turn.nowNanos()));
         }
         decision.get().ranksRun(speeds);
     }
@@ -287,7 +298,7 @@
             return;
         }
         if (passes.step() < inForceFrom) {
-            // The ranks are armed for a pass that has not begun: they would refuse to prepare another map.
+            awaitPass(turn);
             return;
         }
         long version = term * VERSIONS_PER_TERM + changes + 1;
@@ -300,6 +311,21 @@
         }
     }
 
+    /**
+     * Waits for the pass in which the last change is in force: until then the ranks refuse to prepare another map. An
+     * earlier order to hold it may be carried out late, so it is let begin again.
+     */
+    private void awaitPass(Turn turn) {
+        waits++;
+        if (waits > MANY_WAITS) {
+            return;
+        }
+        dueNanos = turn.nowNanos() + AFTER_CHANGE.toNanos();
+        if (waits > 1) {
+            turn.add(new MapAction.Send(lastHolder, epoch, new RankOrder.Go(inForceFrom)));
+        }
+    }
+
     private void planned(GroupMap map, Turn turn) {
         if (phase != Phase.PLANNING) {
             return;
@@ -314,7 +340,7 @@
         enter(Phase.CHANGING, turn);
         next = Optional.of(map);
         Duration copy = profile.copyTime(map.mostNewOnOneRank(from));
-        change = Optional.of(GroupChange.begin(ranks, epoch, passes, map, copy, turn));
+        change = Optional.of(GroupChange.begin(ranks, epoch, passes, answers, map, copy, turn));
     }
 
     private void afterChange(GroupChange c, Turn turn) {
@@ -323,6 +349,8 @@
                 change = Optional.empty();
                 current = next;
                 inForceFrom = c.step();
+                lastHolder = c.holder();
+                waits = 0;
                 if (elected) {
                     decision.orElseThrow().lookAgain();
                     beginSampling(AFTER_CHANGE, turn);
--- a/core/src/main/java/org/citrontide/core/expertmap/MapDecision.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/MapDecision.java
@@ -25,20 +25,25 @@
 
     private final EngineProfile profile;
     private final DemandEstimate demand;
-    private final double[] speeds;
+    private double[] speeds = new double[0];
     private long movedNanos;
     private boolean again;
 
-    MapDecision(EngineProfile profile, double[] speeds, long nowNanos) {
+    MapDecision(EngineProfile profile, long nowNanos) {
         this.profile = profile;
-        this.speeds = speeds.clone();
         this.demand = new DemandEstimate(profile.sets(), profile.experts());
         this.movedNanos = nowNanos;
     }
 
     /** Takes the speeds of the ranks relative to a healthy one. */
     void ranksRun(double[] newest) {
-        System.arraycopy(newest, 0, speeds, 0, speeds.length);
+        speeds = newest.clone();
+    }
+
+    /** Learns that the group has formed again: its ranks count from zero, but the demand is what it was. */
+    void countsBeginAnew() {
+        demand.countsBeginAnew();
+        again = demand.isKnown();
     }
 
     /** Takes the running counts of a rank; returns false if they are of another shape. */
--- a/core/src/test/java/org/citrontide/core/expertmap/FakeGroup.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/FakeGroup.java
@@ -40,6 +40,7 @@
     private long nextPassMs;
     private long heldSinceMs = -1;
     private long longestHoldMs;
+    private long heldMs;
     private int changes;
     private String violation = "";
 
@@ -61,6 +62,10 @@
         return longestHoldMs;
     }
 
+    long heldMs() {
+        return heldMs;
+    }
+
     boolean isHeld() {
         return ranks.stream().anyMatch(r -> r.held.isPresent() && r.held.getAsLong() == step + 1);
     }
@@ -203,6 +208,7 @@
             return;
         }
         heldSinceMs = heldSinceMs < 0 ? nowMs : heldSinceMs;
+        heldMs++;
         longestHoldMs = Math.max(longestHoldMs, nowMs - heldSinceMs);
     }
 
--- a/core/src/test/java/org/citrontide/core/expertmap/GroupMapControllerTest.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/GroupMapControllerTest.java
@@ -51,6 +51,42 @@
         assertTrue(changes > 300, changes + " changes of map in all");
     }
 
+    @Test
+    void anOrderThatIsCarriedOutTwiceHoldsTheGroupBriefly() {
+        for (long seed = 1; seed <= 20; seed++) {
+            World w = new World(seed, 0, false);
+            w.doubled = true;
+            w.play(20_000);
+            assertEquals("", w.group.violation(), "seed " + seed);
+            assertTrue(w.group.changes() >= 4, w.group.changes() + " changes");
+            assertTrue(w.group.longestHoldMs() < 500, "seed " + seed + ": held for " + w.group.longestHoldMs() + " ms");
+        }
+    }
+
+    @Test
+    void ordersWithoutAnswersSeldomMakeTheGroupWait() {
+        long held = 0;
+        int changes = 0;
+        for (long seed = 1; seed <= 20; seed++) {
+            World w = new World(seed, 0.1, false);
+            w.play(20_000);
+            held += w.group.heldMs();
+            changes += w.group.changes();
+        }
+        assertTrue(changes >= 60, changes + " changes");
+        assertTrue(held < 10L * changes, "held for " + held + " ms in " + changes + " changes");
+    }
+
+    @Test
+    void aGroupThatFormsAgainGetsAMapForTheKnownDemandAtOnce() {
+        World w = new World(1, 0, false);
+        w.play(8_500);
+        w.group.crash();
+        int before = w.group.changes();
+        w.play(9_500);
+        assertTrue(w.group.changes() > before, "no change of map within a second");
+    }
+
     /** Something that happens at a time. */
     private record Due(long atMs, long order, Runnable what) {}
 
@@ -77,6 +113,7 @@
         private long heldUntilMs;
         private long term;
         private int abandoned;
+        private boolean doubled;
 
         private World(long seed, double unanswered, boolean faulty) {
             this.random = new SplittableRandom(seed);
@@ -90,7 +127,7 @@
         }
 
         private void play(long untilMs) {
-            for (nowMs = 1; nowMs <= untilMs; nowMs++) {
+            for (nowMs++; nowMs <= untilMs; nowMs++) {
                 group.advance(nowMs);
                 while (!due.isEmpty() && due.peek().atMs() <= nowMs) {
                     due.poll().what().run();
@@ -194,6 +231,9 @@
                     RankReply reply = group.order(rank, s.epoch(), s.order(), nowMs);
                     answer(process, incarnation, new MapEvent.Replied(s.upstream(), s.order(), reply));
                 });
+                if (doubled && random.nextInt(3) == 0) {
+                    later(20 + random.nextInt(300), () -> group.order(rank, s.epoch(), s.order(), nowMs));
+                }
                 return;
             }
             switch (random.nextInt(3)) {
@@ -204,7 +244,7 @@
                 }
             }
             MapEvent none = new MapEvent.Replied(s.upstream(), s.order(), RankReply.UNANSWERED);
-            later(150, () -> answer(process, incarnation, none));
+            later(70, () -> answer(process, incarnation, none));
         }
 
         /** Delivers an event, once the process runs, unless it was killed since. */
--- a/gateway/src/main/java/org/citrontide/gateway/maps/MapShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/maps/MapShell.java
@@ -38,7 +38,7 @@
 public final class MapShell {
     private static final EventLog LOG = EventLog.of(MapShell.class);
     // Several round trips between zones; an order without an answer is repeated.
-    private static final Duration ORDER_TIMEOUT = Duration.ofMillis(150);
+    private static final Duration ORDER_TIMEOUT = Duration.ofMillis(70);
     private static final Duration READ_TIMEOUT = Duration.ofMillis(250);
     // Changes of places in one set; the limit of new experts ends most searches before.
     private static final int SEARCH_STEPS = 40;
