Ask all peers as soon as the store is missed

Change: all seeds after each failure; while the store is missed its calls end after 0.7 s and the pause grows to 0.75 s. Ruled out: order of versions and the peers' copies (logs). Also: the length of a buffered answer is no longer found by copying it.

--- a/fakes/src/main/java/org/citrontide/fakes/platform/FakePlatformStore.java
+++ b/fakes/src/main/java/org/citrontide/fakes/platform/FakePlatformStore.java
@@ -34,7 +34,9 @@
         /** It answers each call with 503. */
         REFUSING,
         /** It closes each connection without an answer. */
-        SILENT
+        SILENT,
+        /** It takes each call and never answers. */
+        HANGING
     }
 
     private final JsonMapper mapper = new JsonMapper();
@@ -133,6 +135,9 @@
                 throw new IOException("the store is silent");
             }
         }
+        while (isHanging()) {
+            Thread.sleep(POLL_MS);
+        }
         String target = call.target();
         if (target.equals("GET /-/kv-range")) {
             return range(call.query("prefix"));
@@ -146,6 +151,10 @@
         return lease(target);
     }
 
+    private synchronized boolean isHanging() {
+        return mode == Mode.HANGING;
+    }
+
     private synchronized FakeServer.Reply range(String prefix) {
         ObjectNode body = mapper.createObjectNode();
         ArrayNode list = body.putArray("items");
--- a/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
@@ -40,6 +40,10 @@
     private static final Duration WAIT = Duration.ofMillis(1000);
     // Longer than the wait and a slow answer; a silent connection is given up by then.
     private static final Duration TIMEOUT = Duration.ofMillis(1800);
+    // While the store is missed, a call only finds out whether it is back; a slow answer takes a quarter of a second.
+    private static final Duration AWAY_TIMEOUT = Duration.ofMillis(700);
+    // The pause grows to this many times the first one, so that a long outage costs few calls.
+    private static final int MOST_PAUSES = 5;
     private static final Duration RETRY = Duration.ofMillis(150);
     private static final Duration RETRY_SPREAD = Duration.ofMillis(150);
     // A peer's copy is of use if it is newer than what a store that fails could have told.
@@ -82,7 +86,6 @@
     private final Map<String, Item> copy = new TreeMap<>();
     private final List<InetSocketAddress> peers;
     private int failures;
-    private int nextPeer;
     private Optional<Long> revision = Optional.empty();
     private long version;
     private boolean isAway;
@@ -138,11 +141,6 @@
     }
 
     private void next() {
-        if (failures > 0 && failures % 2 == 0 && !peers.isEmpty()) {
-            failures++;
-            askPeer();
-            return;
-        }
         if (revision.isEmpty()) {
             readAll("", new ArrayList<>());
         } else {
@@ -168,11 +166,13 @@
         });
     }
 
-    /** Asks one peer after the other: the store may turn away this process and serve others. */
-    private void askPeer() {
-        InetSocketAddress peer = peers.get(nextPeer++ % peers.size());
-        caller.call(peer, MetadataStore.range(ALL_KEYS, ""), PEER_TIMEOUT).whenComplete((reply, failure) -> {
-            if (failure == null && reply.status() == OK) {
+    /** Asks all peers: the store may turn away this process and serve others, and some peers may be away as well. */
+    private void askPeers() {
+        for (InetSocketAddress peer : peers) {
+            caller.call(peer, MetadataStore.range(ALL_KEYS, ""), PEER_TIMEOUT).whenComplete((reply, failure) -> {
+                if (failure != null || reply.status() != OK) {
+                    return;
+                }
                 try {
                     takeFromPeer(peer, MetadataStore.page(reply.body()));
                 } catch (DecodeException e) {
@@ -181,9 +181,8 @@
                             .with("why", e.getMessage())
                             .write();
                 }
-            }
-            later(RETRY);
-        });
+            });
+        }
     }
 
     private void takeFromPeer(InetSocketAddress peer, MetadataStore.Page page) {
@@ -219,7 +218,7 @@
     }
 
     private void watch(long after) {
-        call(MetadataStore.watch(ALL_KEYS, after, WAIT), body -> {
+        call(MetadataStore.watch(ALL_KEYS, after, isAway ? Duration.ZERO : WAIT), body -> {
             MetadataStore.Changes changes = MetadataStore.changes(body);
             changes.changes().forEach(this::changed);
             members.expire(System.nanoTime());
@@ -306,7 +305,7 @@
     }
 
     private void call(PlatformCall call, AnswerReader reader) {
-        caller.call(store, call, TIMEOUT).whenComplete((reply, failure) -> {
+        caller.call(store, call, isAway ? AWAY_TIMEOUT : TIMEOUT).whenComplete((reply, failure) -> {
             if (failure != null) {
                 away(failure.getMessage());
                 return;
@@ -339,7 +338,9 @@
             isAway = true;
             LOG.warn("store-lost").with("why", why).write();
         }
-        later(RETRY.plus(Duration.ofNanos(random.nextLong(RETRY_SPREAD.toNanos()))));
+        askPeers();
+        Duration pause = RETRY.multipliedBy(Math.min(failures, MOST_PAUSES));
+        later(pause.plus(Duration.ofNanos(random.nextLong(RETRY_SPREAD.toNanos()))));
     }
 
     private void back() {
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamAttempt.java
@@ -84,6 +84,10 @@
         return body.toByteArray();
     }
 
+    int bodyLength() {
+        return body.size();
+    }
+
     FullHttpRequest request() {
         return request;
     }
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
@@ -153,7 +153,7 @@
             return;
         }
         a.append(data);
-        if (a.body().length > MAX_BUFFERED_BYTES) {
+        if (a.bodyLength() > MAX_BUFFERED_BYTES) {
             fail(Reason.ANSWER_BROKEN);
             channel.close();
         }
--- a/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
@@ -34,7 +34,12 @@
     @BeforeEach
     void start() throws IOException {
         store = new FakePlatformStore();
-        daemon = gateway(callerPort, adminPort, store, Optional.empty(), List.of(local(peerPort)));
+        daemon = gateway(
+                callerPort,
+                adminPort,
+                store,
+                Optional.empty(),
+                List.of(local(TestPorts.next()), local(TestPorts.next()), local(peerPort)));
         daemon.start();
     }
 
--- a/gateway/src/test/java/org/citrontide/gateway/GatewayTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/GatewayTest.java
@@ -288,7 +288,8 @@
     void aGatewayThatTheStoreTurnsAwayLearnsFromItsPeers() throws IOException {
         FakeHttpUpstream a = serve("a", (r, reply) -> reply.whole("200 OK", "a"));
         FakeHttpUpstream b = serve("b", (r, reply) -> reply.whole("200 OK", "b"));
-        store.setMode(FakePlatformStore.Mode.REFUSING);
+        store.setMode(FakePlatformStore.Mode.HANGING);
+        long lost = System.nanoTime();
         try (FakePlatformStore others = new FakePlatformStore();
                 RawCaller c = new RawCaller(callerPort)) {
             // Stands for the same store, which goes on for the peer.
@@ -300,6 +301,9 @@
             gateway(TestPorts.next(), TestPorts.next(), others, Optional.of(local(peerPort)), List.of())
                     .start();
             await("the key is taken away", () -> status(c, "/look/") == 401);
+            long ms = Duration.ofNanos(System.nanoTime() - lost).toMillis();
+            // The users' bound for a change while the store turns some machines away.
+            assertTrue(ms < 7000, "after " + ms + " ms");
             int served = a.received().size();
             for (int i = 1; i <= 10; i++) {
                 c.write("GET /look/ HTTP/1.1\r\nHost: h.example\r\nCitrontide-Attempt-Id: new-" + i
