Read the speeds of the ranks while maps are kept, not at election only

Change: all reports each 1.5 s; a change of speed by a tenth asks for a decision. Test red before (speed 1.0, not 0.2).

--- a/core/src/main/java/org/citrontide/core/expertmap/GroupMapController.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/GroupMapController.java
@@ -21,6 +21,8 @@
 public final class GroupMapController {
     // Demand moves every few seconds; each read of a rank's counts pauses its group for a fraction of a ms.
     private static final Duration SAMPLE_INTERVAL = Duration.ofMillis(500);
+    // A rank that turns slow makes every pass as slow, and each read of a report is priced.
+    private static final Duration SPEED_INTERVAL = Duration.ofMillis(1500);
     private static final Duration OBSERVE_INTERVAL = Duration.ofMillis(500);
     private static final Duration AFTER_CHANGE = Duration.ofMillis(100);
     private static final Duration ANSWER_LIMIT = Duration.ofSeconds(4);
@@ -64,6 +66,7 @@
     private String lastHolder = "";
     private int waits;
     private int misses;
+    private long speedsDueNanos;
 
     /**
      * Makes a controller of the group of one service.
@@ -169,6 +172,7 @@
 
     private void reported(MapEvent.Reported r, Turn turn) {
         change.ifPresent(c -> c.reported(r.upstream(), r.report(), turn));
+        r.report().ifPresent(x -> noteSpeed(r.upstream(), x));
         if (phase != Phase.OBSERVING || !reading.remove(r.upstream())) {
             return;
         }
@@ -178,6 +182,17 @@
         }
     }
 
+    private void noteSpeed(String upstream, RankReport r) {
+        int rank = ranks.indexOf(upstream);
+        if (rank >= 0 && r.epoch() == epoch) {
+            decision.ifPresent(d -> d.rankRuns(rank, speed(r)));
+        }
+    }
+
+    private static double speed(RankReport r) {
+        return 1 / Math.max(1, r.slowness());
+    }
+
     /** Looks for a complete group in a whole round of reports, and for what an earlier controller left. */
     private void observed(Turn turn) {
         Optional<List<String>> whole = reports.wholeGroup();
@@ -210,9 +225,7 @@
     private void adopt(List<String> ids, Turn turn) {
         ranks = ids;
         RankReport first = reports.of(ids.getFirst());
-        double[] speeds = ids.stream()
-                .mapToDouble(id -> 1 / Math.max(1, reports.of(id).slowness()))
-                .toArray();
+        double[] speeds = ids.stream().mapToDouble(id -> speed(reports.of(id))).toArray();
         passes.reset(first.step(), turn.nowNanos());
         inForceFrom = 0;
         if (first.epoch() != epoch) {
@@ -259,6 +272,10 @@
             return;
         }
         dueNanos = turn.nowNanos() + SAMPLE_INTERVAL.toNanos();
+        if (turn.nowNanos() >= speedsDueNanos) {
+            speedsDueNanos = turn.nowNanos() + SPEED_INTERVAL.toNanos();
+            ranks.forEach(id -> turn.add(new MapAction.ReadReport(id)));
+        }
         int count = Math.min(SAMPLED_RANKS, ranks.size());
         for (int i = 0; i < count; i++) {
             String id = ranks.get(i * ranks.size() / count);
--- a/core/src/main/java/org/citrontide/core/expertmap/MapDecision.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/MapDecision.java
@@ -21,6 +21,7 @@
     private static final double STEADY_SKEW = 1.05;
     private static final double STEADY_GAIN = 0.03;
     private static final double STEADY_STEP_GAIN = 0.001;
+    private static final double LARGE_SPEED_CHANGE = 0.1;
     private static final Duration STEADY_AFTER = Duration.ofSeconds(8);
 
     private final EngineProfile profile;
@@ -40,6 +41,15 @@
         speeds = newest.clone();
     }
 
+    /** Takes the speed of one rank; a large change asks for a decision. */
+    void rankRuns(int rank, double speed) {
+        if (rank < speeds.length && speed != speeds[rank]) {
+            again |= Math.abs(speed - speeds[rank]) > LARGE_SPEED_CHANGE && demand.isKnown();
+            speeds = speeds.clone();
+            speeds[rank] = speed;
+        }
+    }
+
     /** Learns that the group has formed again: its ranks count from zero, but the demand is what it was. */
     void countsBeginAnew() {
         demand.countsBeginAnew();
--- a/core/src/test/java/org/citrontide/core/expertmap/FakeGroup.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/FakeGroup.java
@@ -42,6 +42,7 @@
     private long longestHoldMs;
     private long heldMs;
     private int changes;
+    private int slowRank = -1;
     private String violation = "";
 
     FakeGroup(int size, int experts) {
@@ -88,6 +89,11 @@
         }
     }
 
+    /** Makes one rank work five times as long. */
+    void slow(int rank) {
+        slowRank = rank;
+    }
+
     /** Ends the group and forms it again with map 0. */
     void crash() {
         epoch++;
@@ -229,7 +235,7 @@
                     prepared,
                     r.armedStep.isPresent() ? prepared : OptionalLong.empty(),
                     r.held,
-                    1));
+                    i == slowRank ? 5 : 1));
         }
         return list;
     }
--- a/core/src/test/java/org/citrontide/core/expertmap/GroupMapControllerTest.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/GroupMapControllerTest.java
@@ -87,6 +87,15 @@
         assertTrue(w.group.changes() > before, "no change of map within a second");
     }
 
+    @Test
+    void aRankThatTurnsSlowIsRelievedWithinSeconds() {
+        World w = new World(1, 0, false);
+        w.play(5_000);
+        w.group.slow(2);
+        w.play(9_000);
+        assertEquals(0.2, w.lastSpeeds[2], 1e-9);
+    }
+
     /** Something that happens at a time. */
     private record Due(long atMs, long order, Runnable what) {}
 
@@ -114,6 +123,7 @@
         private long term;
         private int abandoned;
         private boolean doubled;
+        private double[] lastSpeeds = new double[RANKS];
 
         private World(long seed, double unanswered, boolean faulty) {
             this.random = new SplittableRandom(seed);
@@ -217,7 +227,10 @@
                         answer(process, incarnation, new MapEvent.Counted(r.upstream(), counts));
                     }
                     case MapAction.ReadExperts r -> answer(process, incarnation, group.listed(rank(r.upstream())));
-                    case MapAction.Plan p -> answer(process, incarnation, new MapEvent.Planned(p.search(20)));
+                    case MapAction.Plan p -> {
+                        lastSpeeds = p.loads().getFirst().rankSpeeds();
+                        answer(process, incarnation, new MapEvent.Planned(p.search(20)));
+                    }
                     case MapAction.Send s -> send(process, incarnation, s);
                     case MapAction.Note n -> abandoned += n.event().equals("map-change-abandoned") ? 1 : 0;
                 }
