--- a/core/src/main/java/org/citrontide/core/gateway/AdmissionQueue.java
+++ b/core/src/main/java/org/citrontide/core/gateway/AdmissionQueue.java
@@ -28,6 +28,8 @@
     private static final Duration PROBE_INTERVAL = Duration.ofMillis(300);
     // Late requests of one gateway without a first event: about half of the slots at the pace of first events.
     private static final int MOST_LATE_PENDING = 2;
+    // The crowd of an outage has come back by then: callers wait for a third of their time, 2.7 s of 8, at most.
+    private static final Duration CROWD = Duration.ofSeconds(4);
     // Keeps the bodies of waiting requests to some megabytes.
     private static final int MOST_WAITING = 256;
 
@@ -38,6 +40,8 @@
     private boolean isDown;
     private long brokenNanos;
     private long probedNanos;
+    private boolean hadOutage;
+    private long workedNanos;
     private int latePending;
 
     boolean isDown() {
@@ -53,10 +57,14 @@
     }
 
     /** Learns that an attempt sent at the given time is being answered; returns true if that ends an outage. */
-    boolean answers(long sentNanos) {
-        boolean isNews = isDown && sentNanos > brokenNanos;
-        isDown &= !isNews;
-        return isNews;
+    boolean answers(long sentNanos, long nowNanos) {
+        if (!isDown || sentNanos <= brokenNanos) {
+            return false;
+        }
+        isDown = false;
+        hadOutage = true;
+        workedNanos = nowNanos;
+        return true;
     }
 
     int size() {
@@ -137,9 +145,10 @@
         return true;
     }
 
-    /** Plain answers take as long as their first byte, so that late ones would wait for each other. */
-    private static boolean isHeldBack(GatewayRequest r, long nowNanos) {
-        return r.route().streaming() && r.isLate(nowNanos);
+    /** Says whether a request is one of the crowd that an outage left behind; without one, late requests are few. */
+    private boolean isHeldBack(GatewayRequest r, long nowNanos) {
+        boolean isCrowded = hadOutage && nowNanos - workedNanos < CROWD.toNanos();
+        return isCrowded && r.route().streaming() && r.isLate(nowNanos);
     }
 
     private static long waitEndNanos(GatewayRequest r) {
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
@@ -255,7 +255,7 @@
 
         private void noteAnswer(OpenGatewayRequest.Attempt a) {
             String service = a.upstream.listed().service();
-            if (queue(service).answers(a.sentNanos)) {
+            if (queue(service).answers(a.sentNanos, nowNanos)) {
                 noteGroup(service);
             }
         }
