Count the gateways that share the slack of the repeats

Cause: each gateway took a twelfth of the slack of the budget of repeats. The grown deployments have 33 and 39 gateways: with all of them repeating in an outage, 33/12 of the slack could be spent (ruled out: a share by traffic, since no gateway knows the whole; a setting, since machines come and go).

Change: each gateway keeps a key under a lease of 60 s, renewed each 20 s; all count the keys they see in the watch they have anyway; the part is a twelfth at most. Cost: 2 calls a start and 3 renewals a minute. The stand-in of the store counts reads only, since the tests wait for reads.

--- a/core/src/main/java/org/citrontide/core/gateway/RepeatAllowance.java
+++ b/core/src/main/java/org/citrontide/core/gateway/RepeatAllowance.java
@@ -14,7 +14,7 @@
 public final class RepeatAllowance {
     private final double ratio;
     private final long windowNanos;
-    private final double slack;
+    private final SlackShare slack;
     private final Deque<Long> requests = new ArrayDeque<>();
     private final Deque<Long> repeats = new ArrayDeque<>();
 
@@ -23,9 +23,9 @@
      *
      * @param ratio repeats allowed for each request
      * @param window span over which both are counted
-     * @param slack repeats allowed in a window whatever the requests
+     * @param slack repeats allowed in a window whatever the requests, this gateway's part
      */
-    public RepeatAllowance(double ratio, Duration window, double slack) {
+    public RepeatAllowance(double ratio, Duration window, SlackShare slack) {
         this.ratio = ratio;
         this.windowNanos = window.toNanos();
         this.slack = slack;
@@ -50,7 +50,7 @@
     public boolean tryRepeat(long nowNanos) {
         forgetOld(requests, nowNanos);
         forgetOld(repeats, nowNanos);
-        if (repeats.size() + 1 > ratio * requests.size() + slack) {
+        if (repeats.size() + 1 > ratio * requests.size() + slack.part()) {
             return false;
         }
         repeats.add(nowNanos);
--- a/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherFaultTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherFaultTest.java
@@ -79,7 +79,9 @@
         private World(long seed) {
             random = new SplittableRandom(seed);
             dispatcher = new GatewayDispatcher(
-                    "z1", () -> new RepeatAllowance(0.2, Duration.ofSeconds(10), 20), random.split());
+                    "z1",
+                    () -> new RepeatAllowance(0.2, Duration.ofSeconds(10), new SlackShare(12 * 20)),
+                    random.split());
         }
 
         private void play(long untilMs) {
--- a/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherTest.java
@@ -29,7 +29,9 @@
     private static final AttemptOutcome BROKEN = new AttemptOutcome.Broken(Reason.CONNECTION_LOST);
 
     private final GatewayDispatcher dispatcher = new GatewayDispatcher(
-            "z1", () -> new RepeatAllowance(0.2, Duration.ofSeconds(10), 3), new SplittableRandom(1));
+            "z1",
+            () -> new RepeatAllowance(0.2, Duration.ofSeconds(10), new SlackShare(12 * 3)),
+            new SplittableRandom(1));
     private long nowMs = 1000;
 
     @BeforeEach
--- a/core/src/test/java/org/citrontide/core/gateway/GroupOutageLoadTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/GroupOutageLoadTest.java
@@ -115,7 +115,9 @@
             }
             for (int g = 0; g < GATEWAYS; g++) {
                 GatewayDispatcher d = new GatewayDispatcher(
-                        "z", () -> new RepeatAllowance(0.2, Duration.ofSeconds(10), 92.0 / 12), random.split());
+                        "z",
+                        () -> new RepeatAllowance(0.2, Duration.ofSeconds(10), new SlackShare(92.0)),
+                        random.split());
                 d.on(new GatewayEvent.Listed(list), 0);
                 gateways.add(d);
                 open.add(new HashMap<>());
--- a/core/src/test/java/org/citrontide/core/gateway/RepeatAllowanceTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/RepeatAllowanceTest.java
@@ -17,7 +17,7 @@
     @Test
     void noWindowHasMoreRepeatsThanItsRequestsAndTheSlackAllow() {
         SplittableRandom random = new SplittableRandom(1);
-        RepeatAllowance allowance = new RepeatAllowance(0.2, Duration.ofMillis(WINDOW_MS), 7);
+        RepeatAllowance allowance = new RepeatAllowance(0.2, Duration.ofMillis(WINDOW_MS), new SlackShare(12 * 7));
         List<Long> requests = new ArrayList<>();
         List<Long> repeats = new ArrayList<>();
         for (long now = 0; now < 120_000; now += 5) {
--- a/fakes/src/main/java/org/citrontide/fakes/platform/FakePlatformStore.java
+++ b/fakes/src/main/java/org/citrontide/fakes/platform/FakePlatformStore.java
@@ -47,7 +47,7 @@
     private long forgottenUpTo;
     private long lastLease;
     private Mode mode = Mode.UP;
-    private int calls;
+    private int reads;
 
     /**
      * Starts the store.
@@ -68,12 +68,12 @@
     }
 
     /**
-     * Returns the calls so far.
+     * Returns the reads and watches so far, also those that were refused.
      *
      * @return count
      */
-    public synchronized int calls() {
-        return calls;
+    public synchronized int reads() {
+        return reads;
     }
 
     /**
@@ -127,7 +127,7 @@
 
     private FakeServer.Reply serve(FakeServer.Call call) throws IOException, InterruptedException {
         synchronized (this) {
-            calls++;
+            reads += call.target().startsWith("GET ") ? 1 : 0;
             if (mode == Mode.REFUSING) {
                 return FakeServer.Reply.status(UNAVAILABLE);
             }
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
@@ -7,10 +7,12 @@
 import java.util.random.RandomGenerator;
 
 import io.netty.channel.EventLoop;
+import org.citrontide.core.gateway.SlackShare;
 import org.citrontide.core.routes.ListedUpstream;
 import org.citrontide.core.routes.RoutingTable;
 import org.citrontide.gateway.dispatch.GatewayShell;
 import org.citrontide.gateway.maps.MapShell;
+import org.citrontide.gateway.store.GatewayRegister;
 import org.citrontide.gateway.store.HttpCaller;
 import org.citrontide.gateway.store.Leadership;
 import org.citrontide.gateway.store.StoreMirror;
@@ -30,23 +32,29 @@
     private final GatewayShell shell;
     private final StoreMirror mirror;
     private final Leadership leadership;
+    private final GatewayRegister register;
     private final MapShell maps;
+    private final SlackShare slack;
     private boolean leads;
     private boolean stopping;
     private boolean resigned;
     private volatile boolean holding;
 
-    ControlPlane(GatewaySettings settings, EventLoop loop, RandomGenerator random, GatewayShell shell) {
+    ControlPlane(
+            GatewaySettings settings, EventLoop loop, RandomGenerator random, GatewayShell shell, SlackShare slack) {
+        this.slack = slack;
         this.loop = loop;
         this.shell = shell;
         HttpCaller caller = new HttpCaller(loop);
         this.mirror = new StoreMirror(caller, settings.storeAddress(), settings.peers(), loop, random, this);
         this.leadership = new Leadership(caller, settings.storeAddress(), loop, random, settings.vm(), this);
+        this.register = new GatewayRegister(caller, settings.storeAddress(), loop, random, settings.vm());
         this.maps = new MapShell(caller, loop, leadership::check);
     }
 
     void start() {
         mirror.start();
+        register.start();
         tick();
     }
 
@@ -85,6 +93,11 @@
         leadership.keySeen(isHeld);
     }
 
+    @Override
+    public void gateways(int count) {
+        slack.gateways(count);
+    }
+
     @Override
     public void elected(long term) {
         leads = true;
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
@@ -15,6 +15,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.citrontide.core.gateway.GatewayDispatcher;
 import org.citrontide.core.gateway.RepeatAllowance;
+import org.citrontide.core.gateway.SlackShare;
 import org.citrontide.gateway.admin.AdminPages;
 import org.citrontide.gateway.admin.PeerPages;
 import org.citrontide.gateway.admin.SmallHttpServer;
@@ -25,9 +26,6 @@
 /** Builds the parts of a gateway. Used once, at the start of the process. */
 @Module
 final class GatewayModule {
-    // Gateways that share the slack of the repeats; more of them stay in the budget as long as not all use it at once.
-    private static final int SLACK_SHARERS = 12;
-
     private final GatewaySettings settings;
     private final SplittableRandom random;
     private final BooleanSupplier ready;
@@ -71,8 +69,13 @@
 
     @Provides
     @Singleton
-    GatewayShell shell(EventLoopGroup loop, PrometheusRegistry registry, RandomGenerator r) {
-        double slack = (double) settings.repeatSlack() / SLACK_SHARERS;
+    SlackShare slackShare() {
+        return new SlackShare(settings.repeatSlack());
+    }
+
+    @Provides
+    @Singleton
+    GatewayShell shell(EventLoopGroup loop, PrometheusRegistry registry, RandomGenerator r, SlackShare slack) {
         GatewayDispatcher dispatcher = new GatewayDispatcher(
                 settings.zone(),
                 () -> new RepeatAllowance(settings.repeatRatio(), settings.repeatWindow(), slack),
@@ -88,7 +91,7 @@
 
     @Provides
     @Singleton
-    ControlPlane controlPlane(EventLoopGroup loop, RandomGenerator r, GatewayShell shell) {
-        return new ControlPlane(settings, loop.next(), r, shell);
+    ControlPlane controlPlane(EventLoopGroup loop, RandomGenerator r, GatewayShell shell, SlackShare slack) {
+        return new ControlPlane(settings, loop.next(), r, shell, slack);
     }
 }
--- a/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
@@ -74,6 +74,13 @@
          * @param isHeld whether it is there
          */
         void leaderKey(boolean isHeld);
+
+        /**
+         * The number of gateways changed.
+         *
+         * @param count gateways that are registered
+         */
+        void gateways(int count);
     }
 
     private final HttpCaller caller;
@@ -212,6 +219,7 @@
                 decode(i).ifPresent(upstreams::add);
             }
         }
+        listener.gateways(countGateways());
         listener.leaderKey(items.stream().anyMatch(i -> i.key().equals(Leadership.KEY)));
         members.replaceAll(upstreams, System.nanoTime());
         listener.listed(members.upstreams());
@@ -231,7 +239,9 @@
     }
 
     private void keep(Item i) {
-        if (i.key().equals(ConfigurationDecoder.KEY) || i.key().startsWith(UpstreamDecoder.PREFIX)) {
+        if (i.key().equals(ConfigurationDecoder.KEY)
+                || i.key().startsWith(UpstreamDecoder.PREFIX)
+                || i.key().startsWith(GatewayRegister.PREFIX)) {
             copy.put(i.key(), i);
         }
     }
@@ -241,6 +251,9 @@
         if (c.key().equals(ConfigurationDecoder.KEY)) {
             c.item().ifPresent(this::configured);
         }
+        if (c.key().startsWith(GatewayRegister.PREFIX)) {
+            listener.gateways(countGateways());
+        }
         if (c.key().equals(Leadership.KEY)) {
             listener.leaderKey(c.item().isPresent());
         }
@@ -258,6 +271,12 @@
         members.removed(id, System.nanoTime());
     }
 
+    private int countGateways() {
+        return (int) copy.keySet().stream()
+                .filter(k -> k.startsWith(GatewayRegister.PREFIX))
+                .count();
+    }
+
     private void noteDraining(ListedUpstream u) {
         if (u.draining() && reported.add("draining " + u.id())) {
             LOG.info("upstream-draining").with("upstream", u.id()).write();
--- a/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
@@ -85,8 +85,8 @@
         upstreams.add(u);
         store.put("servers/" + id, u.entry("svc", "ready"));
         store.put("op/config", configuration(7));
-        long before = store.calls();
-        await("the gateway knows " + id, () -> store.calls() >= before + 3 && readiness() == 200);
+        long before = store.reads();
+        await("the gateway knows " + id, () -> store.reads() >= before + 3 && readiness() == 200);
         return u;
     }
 
--- a/gateway/src/test/java/org/citrontide/gateway/GatewayTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/GatewayTest.java
@@ -254,8 +254,8 @@
         FakeHttpUpstream b = serve("b", (r, reply) -> reply.whole("200 OK", "b"));
         store.put("servers/a", a.entry("svc", "draining"));
         store.put("op/config", configuration(3).replace("/look/", "/gone/"));
-        long before = store.calls();
-        await("the change is read", () -> store.calls() >= before + 3);
+        long before = store.reads();
+        await("the change is read", () -> store.reads() >= before + 3);
         int served = a.received().size();
         try (RawCaller c = new RawCaller(callerPort)) {
             for (int i = 1; i <= 10; i++) {
@@ -271,8 +271,8 @@
     void requestsAreServedWhileTheStoreIsAwayAndChangesAreReadAfterIt() throws IOException {
         serve("a", (r, reply) -> reply.whole("200 OK", "a"));
         store.setMode(FakePlatformStore.Mode.SILENT);
-        long before = store.calls();
-        await("the store is missed", () -> store.calls() >= before + 4);
+        long before = store.reads();
+        await("the store is missed", () -> store.reads() >= before + 4);
         store.put("op/config", configuration(9).replace("/look/", "/see/"));
         store.compact();
         try (RawCaller c = new RawCaller(callerPort)) {
@@ -314,6 +314,11 @@
         }
     }
 
+    @Test
+    void aGatewayRegistersSoThatOthersCanCountIt() {
+        await("registered", () -> store.has("citrontide/gateways/vm1"));
+    }
+
     @Test
     void entriesThatAreDamagedNameNoUpstreamAndHarmNoOther() throws IOException {
         FakeHttpUpstream a = serve("a", (r, reply) -> reply.whole("200 OK", "a"));
@@ -321,8 +326,8 @@
         store.put("servers/x2", a.entry("svc", "resting"));
         store.put("servers/x3", a.entry("svc", "ready").replace("\"slots\":4", "\"slots\":\"4\""));
         store.put("op/config", "{\"version\":99,\"routes\":7}");
-        long before = store.calls();
-        await("the entries are read", () -> store.calls() >= before + 3);
+        long before = store.reads();
+        await("the entries are read", () -> store.reads() >= before + 3);
         try (RawCaller c = new RawCaller(callerPort)) {
             for (int i = 1; i <= 10; i++) {
                 assertEquals(200, status(c, "/look/"));
