Tell a member without a group from a group that is down, and make nobody wait in a long outage

A service is taken for down only if no other upstream of it answered within 300 ms, so that one broken group of several takes no work from the others. After 8 s of an outage requests are refused at once: it is not known any more that waiting helps.

--- a/core/src/main/java/org/citrontide/core/gateway/AdmissionQueue.java
+++ b/core/src/main/java/org/citrontide/core/gateway/AdmissionQueue.java
@@ -28,6 +28,8 @@
     private static final Duration PROBE_INTERVAL = Duration.ofMillis(300);
     // Late requests of one gateway without a first event: about half of the slots at the pace of first events.
     private static final int MOST_LATE_PENDING = 2;
+    // Cuts and restarts are over by then; after that it is not known that waiting helps.
+    private static final Duration LONG_OUTAGE = Duration.ofSeconds(8);
     // The crowd of an outage has come back by then: callers wait for a third of their time, 2.7 s of 8, at most.
     private static final Duration CROWD = Duration.ofSeconds(4);
     // Keeps the bodies of waiting requests to some megabytes.
@@ -38,6 +40,7 @@
                     .thenComparingLong(o -> -o.request.arrivedNanos())
                     .thenComparingLong(o -> o.request.id()));
     private boolean isDown;
+    private long downNanos;
     private long brokenNanos;
     private long probedNanos;
     private boolean hadOutage;
@@ -51,6 +54,7 @@
     /** Learns that an upstream rejected a request because its group is not whole; returns true if that is news. */
     boolean broken(long nowNanos) {
         boolean isNews = !isDown;
+        downNanos = isNews ? nowNanos : downNanos;
         isDown = true;
         brokenNanos = nowNanos;
         return isNews;
@@ -88,9 +92,10 @@
         a.isLatePending = false;
     }
 
-    /** Lets a request wait; returns false if its caller would not wait for the answer, or too many wait. */
+    /** Lets a request wait; returns false if it would not be answered while its caller waits, or too many wait. */
     boolean tryWait(OpenGatewayRequest o, long nowNanos) {
-        if (o.begun || nowNanos >= waitEndNanos(o.request) || waiting.size() >= MOST_WAITING) {
+        boolean isLong = isDown && nowNanos - downNanos > LONG_OUTAGE.toNanos();
+        if (o.begun || isLong || nowNanos >= waitEndNanos(o.request) || waiting.size() >= MOST_WAITING) {
             return false;
         }
         return waiting.add(o);
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
@@ -37,6 +37,8 @@
     private static final Duration FULL_PAUSE = Duration.ofMillis(60);
     // An address that belongs to another upstream stays so until the list says otherwise.
     private static final Duration MISDIRECTED_PAUSE = Duration.ofSeconds(5);
+    // A member of a group that is down is left alone for this long while other groups serve.
+    private static final Duration OTHER_GROUP_PAUSE = Duration.ofSeconds(1);
     // A stream without bytes for this long, while others of its service go on, is taken for lost.
     private static final Duration SILENCE = Duration.ofMillis(900);
     private static final Duration RECENT = Duration.ofMillis(300);
@@ -306,10 +308,7 @@
                 }
                 case AttemptOutcome.Rejected r
                 when r.cause() == AttemptOutcome.Rejected.Cause.GROUP_BROKEN -> {
-                    if (queue(o).broken(nowNanos)) {
-                        noteGroup(o.request.service());
-                    }
-                    await(o);
+                    groupBroken(o, a);
                 }
                 case AttemptOutcome.Rejected r -> repeatOrGiveUp(o, Reason.OVERLOADED);
                 case AttemptOutcome.Broken b -> {
@@ -323,6 +322,24 @@
             }
         }
 
+        /** Waits for the group, unless others of the service answer, as members of another group. */
+        private void groupBroken(OpenGatewayRequest o, OpenGatewayRequest.Attempt a) {
+            if (isAnyLively(o.request.service(), a.upstream)) {
+                a.upstream.pause(OTHER_GROUP_PAUSE.toNanos(), nowNanos);
+                repeatOrGiveUp(o, Reason.NO_UPSTREAM);
+                return;
+            }
+            if (queue(o).broken(nowNanos)) {
+                noteGroup(o.request.service());
+            }
+            await(o);
+        }
+
+        private boolean isAnyLively(String service, UpstreamState except) {
+            return directory.ofService(service).stream()
+                    .anyMatch(u -> u != except && nowNanos - u.lastProgressNanos() < RECENT.toNanos());
+        }
+
         /** Says whether a stream has begun whose group is down: its caller won't wait until the group is whole. */
         private boolean isHopeless(OpenGatewayRequest o) {
             return o.begun && queue(o).isDown();
@@ -411,8 +428,7 @@
             if (nowNanos - Math.max(a.progressNanos, a.upstream.lastProgressNanos()) < bound.toNanos()) {
                 return false;
             }
-            return directory.ofService(o.request.service()).stream()
-                    .anyMatch(u -> u != a.upstream && nowNanos - u.lastProgressNanos() < RECENT.toNanos());
+            return isAnyLively(o.request.service(), a.upstream);
         }
 
         private void moveOn(OpenGatewayRequest o) {
--- a/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherTest.java
@@ -32,11 +32,13 @@
             "z1",
             () -> new RepeatAllowance(0.2, Duration.ofSeconds(10), new SlackShare(12 * 3)),
             new SplittableRandom(1));
+    // Upstreams count as lively for a moment after they were listed.
     private long nowMs = 1000;
 
     @BeforeEach
     void list() {
         on(new GatewayEvent.Listed(List.of(upstream("a", false), upstream("b", false), upstream("c", false))));
+        nowMs += 500;
     }
 
     @Test
@@ -167,6 +169,32 @@
         assertEquals(List.of(5L, 4L, 3L, 1L), order);
     }
 
+    @Test
+    void aMemberOfABrokenGroupIsLeftAloneWhileOthersOfItsServiceAnswer() {
+        GatewayAction.Send lively = send(arrive(1, Route.Repeat.RESUMABLE));
+        GatewayAction.Send rejected = send(arrive(2, Route.Repeat.RESUMABLE));
+        on(new GatewayEvent.Progress(lively.attempt(), true));
+        GatewayAction.Send elsewhere = send(end(rejected, GROUP_BROKEN));
+        assertNotEquals(rejected.upstream().id(), elsewhere.upstream().id());
+        for (int id = 3; id <= 8; id++) {
+            assertNotEquals(
+                    rejected.upstream().id(),
+                    send(arrive(id, Route.Repeat.RESUMABLE)).upstream().id());
+        }
+    }
+
+    @Test
+    void anOutageThatLastsLongMakesNobodyWait() {
+        assertEquals(List.of(DOWN), end(send(arrive(1, Route.Repeat.RESUMABLE)), GROUP_BROKEN));
+        nowMs += 1500;
+        on(new GatewayEvent.Tick());
+        nowMs += 8000;
+        GatewayAction.Send probe = send(arrive(2, Route.Repeat.RESUMABLE));
+        assertInstanceOf(GatewayAction.Refuse.class, only(end(probe, GROUP_BROKEN)));
+        GatewayAction.Refuse r = assertInstanceOf(GatewayAction.Refuse.class, only(arrive(3, Route.Repeat.RESUMABLE)));
+        assertInstanceOf(Verdict.NotRun.class, r.verdict());
+    }
+
     @Test
     void withoutAnOutageLateRequestsAreSentAtOnceButBehindThoseThatCanBeOnTime() {
         for (int id = 1; id <= 5; id++) {
@@ -257,6 +285,7 @@
     void aStreamThatHasBegunIsBrokenOffAtOnceWhenItsGroupBreaks() {
         GatewayAction.Send first = send(arrive(1, Route.Repeat.RESUMABLE));
         on(new GatewayEvent.Progress(first.attempt(), true));
+        nowMs += 500;
         GatewayAction.Send second = send(end(first, BROKEN));
         List<GatewayAction> out = end(second, GROUP_BROKEN);
         assertEquals(DOWN, out.getFirst());
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/AnswerClassifier.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/AnswerClassifier.java
@@ -33,10 +33,10 @@
     }
 
     private static Cause cause(AnswerHead head) {
-        if (head.headers().contains(PlatformHeaders.MEMBER_AT_FAULT)) {
-            return Cause.GROUP_BROKEN;
+        if (head.status() == MISDIRECTED) {
+            return Cause.MISDIRECTED;
         }
-        return head.status() == MISDIRECTED ? Cause.MISDIRECTED : Cause.FULL;
+        return head.headers().contains(PlatformHeaders.MEMBER_AT_FAULT) ? Cause.GROUP_BROKEN : Cause.FULL;
     }
 
     private static Optional<Long> retryAfterMillis(HttpHeaders h) {
