--- a/core/src/main/java/org/citrontide/core/expertmap/DemandEstimator.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/DemandEstimator.java
@@ -28,6 +28,7 @@
     private long[] newCounts;
     private boolean hasEstimate;
     private boolean hasShifted;
+    private long selections;
 
     DemandEstimator(int sets, int experts) {
         this.sets = sets;
@@ -65,6 +66,7 @@
         if (total < minPerSet * sets) {
             return false;
         }
+        selections = total;
         hasShifted = hasEstimate && shiftedFraction() > SHIFT_THRESHOLD;
         for (int s = 0; s < sets; s++) {
             updateSet(s);
@@ -79,6 +81,11 @@
         return hasShifted;
     }
 
+    /** Returns the number of expert selections that the last update used. */
+    long selections() {
+        return selections;
+    }
+
     List<RankLoads> loads(double[] speeds, int slotsPerRank) {
         List<RankLoads> loads = new ArrayList<>();
         for (int s = 0; s < sets; s++) {
--- a/core/src/main/java/org/citrontide/core/expertmap/GroupMapController.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/GroupMapController.java
@@ -76,6 +76,7 @@
     private int passWaits;
     private int failedReads;
     private long nextSpeedReadNanos;
+    private final GroupLoadSummary loadSummary = new GroupLoadSummary();
 
     /**
      * Creates a controller for the group of one service.
@@ -182,7 +183,10 @@
 
     private void handleReport(MapEvent.ReportRead read, EventContext context) {
         change.ifPresent(c -> c.handleReport(read.upstream(), read.report(), context));
-        read.report().ifPresent(report -> recordSpeed(read.upstream(), report));
+        read.report().ifPresent(report -> {
+            recordSpeed(read.upstream(), report);
+            loadSummary.record(read.upstream(), report).ifPresent(detail -> context.log("group-load", detail));
+        });
         if (isIdle()) {
             checkForNewPass(read, context);
         }
@@ -320,6 +324,7 @@
         if (context.nowNanos() >= nextSpeedReadNanos) {
             nextSpeedReadNanos =
                     context.nowNanos() + rebalanceParameters().speedInterval().toNanos();
+            loadSummary.start(ranks, profile.slots());
             ranks.forEach(id -> context.add(new MapAction.ReadReport(id)));
         }
         int count = Math.min(SAMPLED_RANKS, ranks.size());
@@ -377,6 +382,16 @@
         long version = term * VERSIONS_PER_TERM + searchesInTerm + 1;
         Optional<MapAction.SearchMap> search =
                 rebalancePolicy.orElseThrow().nextSearch(current.orElseThrow(), version, context.nowNanos());
+        if (rebalancePolicy.orElseThrow().hasDemandEstimate()) {
+            context.log(
+                    "group-demand",
+                    String.format(
+                            "pass %d pass-ms %d %s search %b",
+                            passEstimator.lastStep(),
+                            passEstimator.passTime().toMillis(),
+                            rebalancePolicy.orElseThrow().describeDemand(current.orElseThrow()),
+                            search.isPresent()));
+        }
         if (search.isPresent()) {
             searchesInTerm++;
             enterPhase(Phase.SEARCHING, context);
--- a/core/src/main/java/org/citrontide/core/expertmap/RankReport.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/RankReport.java
@@ -16,6 +16,8 @@
  * @param armed version of the map that the rank will switch to
  * @param heldStep number of the pass that the group must not start until this rank releases it
  * @param slowness time that the rank needs for its work relative to a healthy rank, at least 1
+ * @param running number of requests in the slots of the rank
+ * @param waiting number of requests in the queue of the rank
  */
 public record RankReport(
         String group,
@@ -28,4 +30,6 @@
         OptionalLong prepared,
         OptionalLong armed,
         OptionalLong heldStep,
-        double slowness) {}
+        double slowness,
+        int running,
+        int waiting) {}
--- a/core/src/main/java/org/citrontide/core/expertmap/RebalancePolicy.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/RebalancePolicy.java
@@ -105,6 +105,13 @@
         return 1 - found.passTime(loads) / current.passTime(loads) >= parameters.minGain();
     }
 
+    /** Returns the log text for the demand of the last update under the map in force. */
+    String describeDemand(GroupMap current) {
+        return String.format(
+                "skew %.2f shifted %b selections %d",
+                current.skew(loads()), demand.hasShifted(), demand.selections());
+    }
+
     /** Returns the log text for a change of the map. */
     String describe(GroupMap found, GroupMap current) {
         List<RankLoads> loads = loads();
--- a/core/src/test/java/org/citrontide/core/expertmap/FakeGroup.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/FakeGroup.java
@@ -241,7 +241,9 @@
                     prepared,
                     r.armedStep.isPresent() ? prepared : OptionalLong.empty(),
                     r.heldStep,
-                    i == slowRank ? 5 : 1));
+                    i == slowRank ? 5 : 1,
+                    0,
+                    0));
         }
         return list;
     }
