--- a/core/src/main/java/org/citrontide/core/expertmap/PlacementImprover.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/PlacementImprover.java
@@ -23,6 +23,8 @@
     // High enough for the most loaded rank to dominate, low enough for the next ones to count.
     private static final int NORM_ORDER = 8;
     private static final int HOT_RANKS = 3;
+    // Ranks that take load over from a hot rank. The others of a large group are closer to the mean, and gain little.
+    private static final int COLD_RANKS = 16;
     private static final int FREE = -1;
 
     private final RankLoads loads;
@@ -31,7 +33,13 @@
     private final boolean[][] initiallyHeld;
     private final boolean[][] held;
     private final int[] replicas;
+    /** Ranks that hold each expert, the first {@code replicas[e]} elements of a row. */
+    private final int[][] holders;
+
     private final int[] added;
+    private final double[] rankTimes;
+    /** Sum of the rank times to the power of {@link #NORM_ORDER}. */
+    private double normSum;
 
     /**
      * Creates a search that starts from the map in force.
@@ -48,7 +56,9 @@
         initiallyHeld = new boolean[ranks][loads.experts()];
         held = new boolean[ranks][loads.experts()];
         replicas = new int[loads.experts()];
+        holders = new int[loads.experts()][ranks];
         added = new int[ranks];
+        rankTimes = new double[ranks];
         for (int r = 0; r < ranks; r++) {
             Arrays.fill(slots[r], FREE);
             for (int s = 0; s < current.experts()[r].length; s++) {
@@ -56,7 +66,7 @@
                 slots[r][s] = e;
                 initiallyHeld[r][e] = true;
                 held[r][e] = true;
-                replicas[e]++;
+                holders[e][replicas[e]++] = r;
             }
         }
     }
@@ -87,12 +97,15 @@
     }
 
     private Optional<Change> bestChange(double minGain) {
-        double[] rankTimes = rankTimes();
-        double lowestCost = norm(rankTimes) * (1 - minGain);
+        updateRankTimes();
+        int[] byLoad = ranksByLoad();
+        int[] coldest = Arrays.copyOf(byLoad, Math.min(COLD_RANKS, byLoad.length));
+        double lowestCost = norm() * (1 - minGain);
         Change best = null;
-        for (int hot : mostLoadedRanks(rankTimes)) {
+        for (int i = 1; i <= Math.min(HOT_RANKS, byLoad.length); i++) {
+            int hot = byLoad[byLoad.length - i];
             for (int s = 0; s < slots[hot].length; s++) {
-                for (Change c : candidateChanges(hot, s)) {
+                for (Change c : candidateChanges(hot, s, coldest)) {
                     double cost = cost(c);
                     if (cost < lowestCost) {
                         lowestCost = cost;
@@ -104,17 +117,16 @@
         return Optional.ofNullable(best);
     }
 
-    private static int[] mostLoadedRanks(double[] rankTimes) {
+    private int[] ranksByLoad() {
         return IntStream.range(0, rankTimes.length)
                 .boxed()
-                .sorted(Comparator.comparingDouble(r -> -rankTimes[r]))
-                .limit(HOT_RANKS)
+                .sorted(Comparator.comparingDouble(r -> rankTimes[r]))
                 .mapToInt(Integer::intValue)
                 .toArray();
     }
 
     /** Returns the possible changes that take load off one slot of a rank. */
-    private List<Change> candidateChanges(int hot, int slot) {
+    private List<Change> candidateChanges(int hot, int slot, int[] coldest) {
         int e = slots[hot][slot];
         List<Change> list = new ArrayList<>();
         if (e == FREE) {
@@ -123,7 +135,7 @@
         if (replicas[e] > 1) {
             list.add(Change.single(hot, slot, FREE));
         }
-        for (int r = 0; r < slots.length; r++) {
+        for (int r : coldest) {
             if (r == hot || held[r][e] || !canAdd(r, e)) {
                 continue;
             }
@@ -147,7 +159,7 @@
     private double cost(Change c) {
         int before = slots[c.rank()][c.slot()];
         apply(c);
-        double cost = norm(rankTimes());
+        double cost = norm();
         if (c.otherRank() != FREE) {
             setSlot(c.otherRank(), c.otherSlot(), c.expert());
         }
@@ -165,37 +177,72 @@
     private void setSlot(int rank, int slot, int expert) {
         int old = slots[rank][slot];
         if (old != FREE) {
-            held[rank][old] = false;
-            replicas[old]--;
-            added[rank] -= initiallyHeld[rank][old] ? 0 : 1;
+            removeReplica(rank, old);
         }
         slots[rank][slot] = expert;
         if (expert != FREE) {
-            held[rank][expert] = true;
-            replicas[expert]++;
-            added[rank] += initiallyHeld[rank][expert] ? 0 : 1;
+            addReplica(rank, expert);
+        }
+    }
+
+    private void addReplica(int rank, int e) {
+        held[rank][e] = true;
+        added[rank] += initiallyHeld[rank][e] ? 0 : 1;
+        double before = replicaLoad(e);
+        holders[e][replicas[e]++] = rank;
+        for (int i = 0; i < replicas[e] - 1; i++) {
+            addLoad(holders[e][i], replicaLoad(e) - before);
+        }
+        addLoad(rank, replicaLoad(e));
+    }
+
+    private void removeReplica(int rank, int e) {
+        held[rank][e] = false;
+        added[rank] -= initiallyHeld[rank][e] ? 0 : 1;
+        double before = replicaLoad(e);
+        replicas[e]--;
+        int position = 0;
+        while (holders[e][position] != rank) {
+            position++;
+        }
+        holders[e][position] = holders[e][replicas[e]];
+        for (int i = 0; i < replicas[e]; i++) {
+            addLoad(holders[e][i], replicaLoad(e) - before);
         }
+        addLoad(rank, -before);
     }
 
-    private double[] rankTimes() {
-        double[] rankTimes = new double[slots.length];
+    private double replicaLoad(int e) {
+        return replicas[e] == 0 ? 0 : loads.expertLoads()[e] / replicas[e];
+    }
+
+    private void addLoad(int rank, double load) {
+        normSum -= power(rankTimes[rank]);
+        rankTimes[rank] += load / loads.rankSpeeds()[rank];
+        normSum += power(rankTimes[rank]);
+    }
+
+    /** Computes the rank times and their norm anew, so that rounding errors of the increments don't add up. */
+    private void updateRankTimes() {
+        normSum = 0;
         for (int r = 0; r < rankTimes.length; r++) {
+            rankTimes[r] = 0;
             for (int e : slots[r]) {
-                rankTimes[r] += e == FREE ? 0 : loads.expertLoads()[e] / replicas[e];
+                rankTimes[r] += e == FREE ? 0 : replicaLoad(e);
             }
             rankTimes[r] /= loads.rankSpeeds()[r];
+            normSum += power(rankTimes[r]);
         }
-        return rankTimes;
     }
 
-    private static double norm(double[] rankTimes) {
-        double sum = 0;
-        for (double w : rankTimes) {
-            double square = w * w;
-            double fourth = square * square;
-            sum += fourth * fourth;
-        }
-        return Math.pow(sum, 1.0 / NORM_ORDER);
+    private double norm() {
+        return Math.pow(Math.max(0, normSum), 1.0 / NORM_ORDER);
+    }
+
+    private static double power(double rankTime) {
+        double square = rankTime * rankTime;
+        double fourth = square * square;
+        return fourth * fourth;
     }
 
     private ExpertMap map() {
--- a/core/src/main/java/org/citrontide/core/expertmap/RebalanceParameters.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/RebalanceParameters.java
@@ -10,12 +10,16 @@
  *
  * @param minSkew load of the most loaded rank relative to the mean below which no better map is searched for
  * @param minGain fraction of the expert time of a pass that a new map must save
- * @param minStepGain fraction by which each copy of an expert must reduce the load of the most loaded ranks
+ * @param minStepGain fraction by which each copy of an expert must reduce the load of the most loaded ranks, in a group
+ *     of up to {@link #REFERENCE_RANKS}
  * @param sampleInterval time between two reads of the selection counts
  * @param speedInterval time between two reads of the speeds of all ranks
  */
 record RebalanceParameters(
         double minSkew, double minGain, double minStepGain, Duration sampleInterval, Duration speedInterval) {
+    /** Number of ranks above which the threshold for a copy falls, because each rank is a smaller part of the group. */
+    static final int REFERENCE_RANKS = 16;
+
     // Passes shorter than this fraction of the target gap leave room for a burst of twice the load.
     private static final double LOW_LOAD_FRACTION = 0.45;
 
@@ -52,4 +56,9 @@
         }
         return passTime.toNanos() < LOW_LOAD_FRACTION * targetGap.toNanos() ? LOW_LOAD : SHIFTING;
     }
+
+    /** Returns the fraction by which each copy must reduce the load of the most loaded ranks in a group of this size. */
+    double minStepGain(int ranks) {
+        return minStepGain * Math.min(1, (double) REFERENCE_RANKS / ranks);
+    }
 }
--- a/core/src/main/java/org/citrontide/core/expertmap/RebalancePolicy.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/RebalancePolicy.java
@@ -96,7 +96,11 @@
             return Optional.empty();
         }
         return Optional.of(new MapAction.SearchMap(
-                current, loads, profile.maxNewExpertsPerPrepare(), newVersion, parameters.minStepGain()));
+                current,
+                loads,
+                profile.maxNewExpertsPerPrepare(),
+                newVersion,
+                parameters.minStepGain(speeds.length)));
     }
 
     /** Returns true if the map found saves enough expert time per pass to be activated. */
--- /dev/null
+++ b/core/src/test/java/org/citrontide/core/expertmap/MapControllerSimulation.java
@@ -0,0 +1,255 @@
+package org.citrontide.core.expertmap;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+
+import org.citrontide.core.routes.EngineProfile;
+
+/**
+ * Runs two controllers, the lease in the store and an unreliable network against a {@link FakeGroup} in virtual time.
+ * Not thread-safe.
+ */
+final class MapControllerSimulation {
+    /** End of the time in ms in which faults are injected. */
+    static final int FAULT_PERIOD_MS = 25_000;
+
+    private static final int LEASE_MS = 2_000;
+    private static final int TICK_MS = 20;
+    private static final int SEARCH_STEPS = 20;
+
+    private final SplittableRandom random;
+    private final double lossRate;
+    private final boolean hasFaults;
+    private final FakeGroup group;
+    private final EngineProfile profile;
+    private final List<ControllerProcess> processes;
+    private final PriorityQueue<ScheduledTask> tasks = new PriorityQueue<>(
+            Comparator.comparingLong(ScheduledTask::atMs).thenComparingLong(ScheduledTask::sequence));
+    private long nextSequence;
+    private long nowMs;
+    private int leaseHolder = -1;
+    private long leaseExpiryMs;
+    private long term;
+    private int abandonedChanges;
+    private int countReads;
+    private boolean duplicatesOrders;
+    private int searchSteps = SEARCH_STEPS;
+    private double[] lastSpeeds = new double[0];
+
+    MapControllerSimulation(
+            FakeGroup group, EngineProfile profile, long seed, double lossRate, boolean hasFaults) {
+        this.group = group;
+        this.profile = profile;
+        this.processes = List.of(new ControllerProcess(profile), new ControllerProcess(profile));
+        this.random = new SplittableRandom(seed);
+        this.lossRate = lossRate;
+        this.hasFaults = hasFaults;
+        processes.forEach(p -> p.controller.handle(new MapEvent.MembersChanged(members()), 0));
+    }
+
+    FakeGroup group() {
+        return group;
+    }
+
+    int abandonedChanges() {
+        return abandonedChanges;
+    }
+
+    int countReads() {
+        return countReads;
+    }
+
+    double[] lastSpeeds() {
+        return lastSpeeds;
+    }
+
+    /** Carries out a third of the orders a second time, later. */
+    void duplicateOrders() {
+        duplicatesOrders = true;
+    }
+
+    /** Sets the maximum number of placement changes of a search. */
+    void setSearchSteps(int steps) {
+        searchSteps = steps;
+    }
+
+    void setTargetGap(Duration gap) {
+        processes.forEach(p -> p.controller.handle(new MapEvent.TargetGapChanged(gap), 0));
+    }
+
+    void runUntil(long untilMs) {
+        for (nowMs++; nowMs <= untilMs; nowMs++) {
+            group.advance(nowMs);
+            while (!tasks.isEmpty() && tasks.peek().atMs() <= nowMs) {
+                tasks.poll().action().run();
+            }
+            if (hasFaults && nowMs < FAULT_PERIOD_MS) {
+                injectFaults();
+            }
+            updateLease();
+            for (int i = 0; i < processes.size(); i++) {
+                if (nowMs % TICK_MS == 0 && nowMs >= processes.get(i).suspendedUntilMs) {
+                    deliver(i, new MapEvent.Tick());
+                }
+            }
+        }
+    }
+
+    private void injectFaults() {
+        if (random.nextInt(6000) == 0) {
+            group.crash();
+        }
+        int p = random.nextInt(processes.size());
+        if (random.nextInt(3000) == 0) {
+            processes.get(p).suspendedUntilMs = nowMs + random.nextInt(4000);
+        }
+        if (random.nextInt(4000) == 0) {
+            kill(processes.get(p));
+        }
+    }
+
+    private void kill(ControllerProcess p) {
+        p.controller = new GroupMapController(profile);
+        p.incarnation++;
+        p.localLeaseEndMs = -1;
+        p.controller.handle(new MapEvent.MembersChanged(members()), nowMs * 1_000_000);
+    }
+
+    /** Grants the lease to a running process if it is free. The holder renews it while it runs. */
+    private void updateLease() {
+        if (nowMs % 500 != 0) {
+            return;
+        }
+        if (leaseHolder >= 0) {
+            ControllerProcess p = processes.get(leaseHolder);
+            boolean canRenew = nowMs >= p.suspendedUntilMs && p.localLeaseEndMs > nowMs;
+            if (canRenew) {
+                leaseExpiryMs = nowMs + LEASE_MS;
+                p.localLeaseEndMs = nowMs + LEASE_MS - 300;
+            }
+        }
+        if (leaseHolder < 0 || nowMs >= leaseExpiryMs) {
+            int next = random.nextInt(processes.size());
+            if (nowMs < processes.get(next).suspendedUntilMs) {
+                return;
+            }
+            leaseHolder = next;
+            leaseExpiryMs = nowMs + LEASE_MS;
+            processes.get(next).localLeaseEndMs = nowMs + LEASE_MS - 300;
+            deliver(next, new MapEvent.Elected(++term));
+        }
+    }
+
+    private void deliver(int process, MapEvent event) {
+        ControllerProcess p = processes.get(process);
+        if (p.localLeaseEndMs >= 0 && nowMs >= p.localLeaseEndMs) {
+            p.localLeaseEndMs = -1;
+            perform(process, p.controller.handle(new MapEvent.Deposed(), nowMs * 1_000_000));
+        }
+        perform(process, p.controller.handle(event, nowMs * 1_000_000));
+    }
+
+    private void perform(int process, List<MapAction> actions) {
+        int incarnation = processes.get(process).incarnation;
+        for (MapAction a : actions) {
+            switch (a) {
+                case MapAction.ReadReport r -> {
+                    Optional<RankReport> report =
+                            isLost() ? Optional.empty() : Optional.of(group.reportOf(rankOf(r.upstream())));
+                    scheduleEvent(process, incarnation, new MapEvent.ReportRead(r.upstream(), report));
+                }
+                case MapAction.ReadCounts r -> {
+                    countReads++;
+                    Optional<MapEvent.ExpertCounts> counts =
+                            isLost() ? Optional.empty() : Optional.of(group.countsOf(rankOf(r.upstream())));
+                    scheduleEvent(process, incarnation, new MapEvent.CountsRead(r.upstream(), counts));
+                }
+                case MapAction.ReadExperts r ->
+                    scheduleEvent(process, incarnation, group.expertsOf(rankOf(r.upstream())));
+                case MapAction.SearchMap p -> {
+                    lastSpeeds = p.loads().getFirst().rankSpeeds();
+                    scheduleEvent(process, incarnation, new MapEvent.SearchEnded(p.search(searchSteps)));
+                }
+                case MapAction.SendOrder s -> send(process, incarnation, s);
+                case MapAction.LogEvent n -> abandonedChanges += n.event().equals("map-change-abandoned") ? 1 : 0;
+            }
+        }
+    }
+
+    private void send(int process, int incarnation, MapAction.SendOrder s) {
+        int rank = rankOf(s.upstream());
+        if (!isLost()) {
+            schedule(1, () -> {
+                OrderOutcome outcome = group.handleOrder(rank, s.epoch(), s.order(), nowMs);
+                scheduleEvent(process, incarnation, new MapEvent.OrderEnded(s.upstream(), s.order(), outcome));
+            });
+            if (duplicatesOrders && random.nextInt(3) == 0) {
+                schedule(20 + random.nextInt(300), () -> group.handleOrder(rank, s.epoch(), s.order(), nowMs));
+            }
+            return;
+        }
+        switch (random.nextInt(3)) {
+            case 0 -> schedule(1, () -> group.handleOrder(rank, s.epoch(), s.order(), nowMs));
+            case 1 ->
+                schedule(2000 + random.nextInt(10_000), () -> group.handleOrder(rank, s.epoch(), s.order(), nowMs));
+            default -> {
+                // The order is lost.
+            }
+        }
+        MapEvent timeout = new MapEvent.OrderEnded(s.upstream(), s.order(), OrderOutcome.UNANSWERED);
+        schedule(70, () -> scheduleEvent(process, incarnation, timeout));
+    }
+
+    /** Schedules an event for a process, to be delivered once it runs, unless it has been killed meanwhile. */
+    private void scheduleEvent(int process, int incarnation, MapEvent event) {
+        ControllerProcess p = processes.get(process);
+        long atMs = Math.max(nowMs + 1, p.suspendedUntilMs);
+        tasks.add(new ScheduledTask(atMs, nextSequence++, () -> {
+            if (nowMs < p.suspendedUntilMs) {
+                scheduleEvent(process, incarnation, event);
+            } else if (p.incarnation == incarnation) {
+                deliver(process, event);
+            }
+        }));
+    }
+
+    private void schedule(long ms, Runnable action) {
+        tasks.add(new ScheduledTask(nowMs + ms, nextSequence++, action));
+    }
+
+    private boolean isLost() {
+        return nowMs < FAULT_PERIOD_MS && random.nextDouble() < lossRate;
+    }
+
+    private static int rankOf(String upstream) {
+        return Integer.parseInt(upstream.substring("rank".length()));
+    }
+
+    private List<String> members() {
+        List<String> members = new ArrayList<>();
+        for (int r = 0; r < group.size(); r++) {
+            members.add("rank" + r);
+        }
+        return members;
+    }
+
+    /** A task that is due at a virtual time. */
+    private record ScheduledTask(long atMs, long sequence, Runnable action) {}
+
+    /** A process that runs a controller. */
+    private static final class ControllerProcess {
+        private GroupMapController controller;
+        private long suspendedUntilMs;
+        private long localLeaseEndMs = -1;
+        private int incarnation;
+
+        private ControllerProcess(EngineProfile profile) {
+            controller = new GroupMapController(profile);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/citrontide/core/expertmap/ShiftingDemandLoadTest.java
@@ -0,0 +1,38 @@
+package org.citrontide.core.expertmap;
+
+import java.time.Duration;
+import java.util.List;
+
+import org.citrontide.core.routes.EngineProfile;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Plays demand that moves to other experts every two seconds on a large group, and checks the maps that follow it. */
+final class ShiftingDemandLoadTest {
+    private static final int RANKS = 72;
+    private static final EngineProfile PROFILE =
+            new EngineProfile(7, 217_000, 5.85, 0.426, 0.0432, 61_200, 6, 139, 800, 12, 144, 3, 2, 130, 180_000);
+    private static final int SEEDS = 3;
+    private static final int SHIFTS = 8;
+    private static final int SEARCH_STEPS = 40;
+
+    @Test
+    void oneSearchPerShiftKeepsLargeGroupBelowSkewThatWarrantsASearch() {
+        RebalanceParameters parameters =
+                RebalanceParameters.select(Duration.ofMillis(100), Duration.ofMillis(120), false);
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            ShiftingDemand demand = new ShiftingDemand(PROFILE, RANKS, seed);
+            GroupMap map = GroupMap.initial(demand.sets(), demand.expertsPerSet(), RANKS);
+            double meanSkew = 0;
+            for (int shift = 0; shift <= SHIFTS; shift++) {
+                List<RankLoads> loads = demand.loadsAt((long) shift * ShiftingDemand.SHIFT_PERIOD_MS);
+                map = new MapAction.SearchMap(map, loads, 2, shift + 1, parameters.minStepGain(RANKS))
+                        .search(SEARCH_STEPS);
+                // The first map starts from one without replicas, so that its limit of new experts binds.
+                meanSkew += shift > 0 ? map.skew(loads) / SHIFTS : 0;
+            }
+            assertTrue(meanSkew <= parameters.minSkew(), "seed " + seed + ": mean skew " + meanSkew);
+        }
+    }
+}
