Wait for the response to a large order for as long as its transmission takes

An order to prepare a map of 72 ranks has 9.5 KB, a round of them 0.68 MB, which takes 0.2 s on a link of 28 Mbit/s; each order was given up and sent again after 70 ms. Class of fault: a time limit that doesn't depend on the size of what is sent.

OrderTimeouts adds the transmission of the orders in flight, at the rate of the VM's link, a new setting.

--- a/core/src/test/java/org/citrontide/core/expertmap/MapControllerSimulation.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/MapControllerSimulation.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -21,6 +22,10 @@
     private static final int LEASE_MS = 2_000;
     private static final int TICK_MS = 20;
     private static final int SEARCH_STEPS = 20;
+    private static final double LINK_MEGABITS_PER_SECOND = 28;
+    private static final int LINK_BYTES_PER_MS = 3500;
+    private static final int SMALL_ORDER_BYTES = 60;
+    private static final int BYTES_PER_EXPERT = 4;
 
     private final SplittableRandom random;
     private final double lossRate;
@@ -38,6 +43,7 @@
     private int abandonedChanges;
     private int countReads;
     private boolean duplicatesOrders;
+    private long linkFreeMs;
     private int searchSteps = SEARCH_STEPS;
     private double[] lastSpeeds = new double[0];
 
@@ -183,11 +189,24 @@
 
     private void send(int process, int incarnation, MapAction.SendOrder s) {
         int rank = rankOf(s.upstream());
+        int bytes = sizeOf(s.order());
+        OrderTimeouts timeouts = processes.get(process).orderTimeouts;
+        long timeoutMs = timeouts.start(bytes).toMillis();
+        MapEvent timeout = new MapEvent.OrderEnded(s.upstream(), s.order(), OrderOutcome.UNANSWERED);
         if (!isLost()) {
-            schedule(1, () -> {
+            linkFreeMs = Math.max(nowMs, linkFreeMs) + bytes / LINK_BYTES_PER_MS;
+            long delayMs = linkFreeMs + 1 - nowMs;
+            boolean isInTime = delayMs < timeoutMs;
+            schedule(delayMs, () -> {
                 OrderOutcome outcome = group.handleOrder(rank, s.epoch(), s.order(), nowMs);
-                scheduleEvent(process, incarnation, new MapEvent.OrderEnded(s.upstream(), s.order(), outcome));
+                if (isInTime) {
+                    timeouts.end(bytes);
+                    scheduleEvent(process, incarnation, new MapEvent.OrderEnded(s.upstream(), s.order(), outcome));
+                }
             });
+            if (!isInTime) {
+                scheduleTimeout(process, incarnation, timeoutMs, timeout, bytes);
+            }
             if (duplicatesOrders && random.nextInt(3) == 0) {
                 schedule(20 + random.nextInt(300), () -> group.handleOrder(rank, s.epoch(), s.order(), nowMs));
             }
@@ -201,8 +220,26 @@
                 // The order is lost.
             }
         }
-        MapEvent timeout = new MapEvent.OrderEnded(s.upstream(), s.order(), OrderOutcome.UNANSWERED);
-        schedule(70, () -> scheduleEvent(process, incarnation, timeout));
+        scheduleTimeout(process, incarnation, timeoutMs, timeout, bytes);
+    }
+
+    private void scheduleTimeout(int process, int incarnation, long timeoutMs, MapEvent timeout, int bytes) {
+        OrderTimeouts timeouts = processes.get(process).orderTimeouts;
+        schedule(timeoutMs, () -> {
+            timeouts.end(bytes);
+            scheduleEvent(process, incarnation, timeout);
+        });
+    }
+
+    private static int sizeOf(RankOrder order) {
+        if (!(order instanceof RankOrder.Prepare p)) {
+            return SMALL_ORDER_BYTES;
+        }
+        int experts = p.map().sets().stream()
+                .flatMap(set -> Arrays.stream(set.experts()))
+                .mapToInt(rank -> rank.length)
+                .sum();
+        return SMALL_ORDER_BYTES + experts * BYTES_PER_EXPERT;
     }
 
     /** Schedules an event for a process, to be delivered once it runs, unless it has been killed meanwhile. */
@@ -243,6 +280,7 @@
 
     /** A process that runs a controller. */
     private static final class ControllerProcess {
+        private final OrderTimeouts orderTimeouts = new OrderTimeouts(LINK_MEGABITS_PER_SECOND);
         private GroupMapController controller;
         private long suspendedUntilMs;
         private long localLeaseEndMs = -1;
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
@@ -7,6 +7,7 @@
 import java.util.random.RandomGenerator;
 
 import io.netty.channel.EventLoop;
+import org.citrontide.core.expertmap.OrderTimeouts;
 import org.citrontide.core.gateway.RetrySlackShare;
 import org.citrontide.core.routes.ListedUpstream;
 import org.citrontide.core.routes.RoutingTable;
@@ -53,7 +54,8 @@
         this.mirror = new StoreMirror(client, settings.storeAddress(), settings.peers(), loop, random, this);
         this.leaderElection = new LeaderElection(client, settings.storeAddress(), loop, random, settings.vm(), this);
         this.registration = new GatewayRegistration(client, settings.storeAddress(), loop, random, settings.vm());
-        this.mapControllers = new MapControllerShell(client, loop, leaderElection::checkLease);
+        this.mapControllers = new MapControllerShell(
+                client, loop, leaderElection::checkLease, new OrderTimeouts(settings.linkMegabitsPerSecond()));
     }
 
     void start() {
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewaySettings.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewaySettings.java
@@ -20,6 +20,7 @@
  * @param peerAddress address on which peers can read this gateway's copy of the store, empty if they can't
  * @param peers addresses of the peers whose copies are read while the store is unavailable to this gateway
  * @param maxConnections maximum number of connections of callers
+ * @param linkMegabitsPerSecond rate of the VM's link in Mbit/s, on which the timeouts of large orders depend
  * @param stopLimit maximum time that a graceful shutdown waits for requests in flight
  * @param retryRatio retries allowed per request of a service
  * @param retryWindow length of the sliding window over which requests and retries are counted
@@ -35,6 +36,7 @@
         Optional<InetSocketAddress> peerAddress,
         List<InetSocketAddress> peers,
         int maxConnections,
+        double linkMegabitsPerSecond,
         Duration stopLimit,
         double retryRatio,
         Duration retryWindow,
@@ -42,6 +44,9 @@
         int maxTeamLabels) {
     private static final int MAX_CONNECTIONS = 100_000;
     private static final int DEFAULT_CONNECTIONS = 2000;
+    private static final double MIN_LINK_MBPS = 0.1;
+    private static final double MAX_LINK_MBPS = 1_000_000;
+    private static final double DEFAULT_LINK_MBPS = 100;
     private static final int MAX_STOP_MS = 3_600_000;
     private static final int DEFAULT_STOP_MS = 8000;
     private static final double DEFAULT_RATIO = 0.2;
@@ -76,12 +81,13 @@
                 : Optional.empty();
         List<InetSocketAddress> peers = ProcessSettings.readAddresses(root, "peers");
         int connections = root.integer("max_connections", 1, MAX_CONNECTIONS, DEFAULT_CONNECTIONS);
+        double link = root.decimal("link_mbps", MIN_LINK_MBPS, MAX_LINK_MBPS, DEFAULT_LINK_MBPS);
         Duration stop = root.milliseconds("stop_limit_ms", 0, MAX_STOP_MS, DEFAULT_STOP_MS);
         double ratio = root.decimal("repeat_ratio", 0, 1, DEFAULT_RATIO);
         Duration window = root.milliseconds("repeat_window_ms", 1, MAX_WINDOW_MS, DEFAULT_WINDOW_MS);
         int slack = root.integer("repeat_slack", 0, MAX_SLACK, DEFAULT_SLACK);
         int labels = root.integer("max_team_labels", 0, MAX_LABELS, DEFAULT_LABELS);
         return root.finish(() -> new GatewaySettings(
-                vm, zone, caller, admin, store, peer, peers, connections, stop, ratio, window, slack, labels));
+                vm, zone, caller, admin, store, peer, peers, connections, link, stop, ratio, window, slack, labels));
     }
 }
--- a/gateway/src/main/java/org/citrontide/gateway/maps/MapControllerShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/maps/MapControllerShell.java
@@ -17,6 +17,7 @@
 import org.citrontide.core.expertmap.MapAction;
 import org.citrontide.core.expertmap.MapEvent;
 import org.citrontide.core.expertmap.OrderOutcome;
+import org.citrontide.core.expertmap.OrderTimeouts;
 import org.citrontide.core.routes.EngineProfile;
 import org.citrontide.core.routes.ListedUpstream;
 import org.citrontide.core.routes.RoutingTable;
@@ -37,8 +38,6 @@
  */
 public final class MapControllerShell {
     private static final EventLog LOG = EventLog.of(MapControllerShell.class);
-    // Covers several round trips between zones; an order without a response is sent again.
-    private static final Duration ORDER_TIMEOUT = Duration.ofMillis(70);
     private static final Duration READ_TIMEOUT = Duration.ofMillis(250);
     // Maximum number of placement changes per set; most searches end earlier, at the limit on new experts.
     private static final int MAX_SEARCH_STEPS = 40;
@@ -53,6 +52,7 @@
     private final Map<String, EngineProfile> profiles = new HashMap<>();
     private Map<String, ListedUpstream> upstreams = Map.of();
     private final Runnable leaseCheck;
+    private final OrderTimeouts orderTimeouts;
     private Optional<Long> term = Optional.empty();
 
     /**
@@ -62,12 +62,15 @@
      * @param loop event loop that runs the controllers
      * @param leaseCheck calls {@link #deposed} if the lease is no longer valid; run before each event, because the
      *     process may have been suspended just before it
+     * @param orderTimeouts determines how long a response to an order is awaited
      */
-    public MapControllerShell(PlatformClient client, EventLoop loop, Runnable leaseCheck) {
+    public MapControllerShell(
+            PlatformClient client, EventLoop loop, Runnable leaseCheck, OrderTimeouts orderTimeouts) {
         this.client = client;
         this.reports = new ReportReader(client);
         this.loop = loop;
         this.leaseCheck = leaseCheck;
+        this.orderTimeouts = orderTimeouts;
     }
 
     /**
@@ -204,7 +207,10 @@
     }
 
     private void sendOrder(String service, MapAction.SendOrder s) {
-        callUpstream(s.upstream(), EngineCalls.sendOrder(s.order(), s.epoch()), ORDER_TIMEOUT, response -> {
+        PlatformCall call = EngineCalls.sendOrder(s.order(), s.epoch());
+        int bytes = call.body().length;
+        callUpstream(s.upstream(), call, orderTimeouts.start(bytes), response -> {
+            orderTimeouts.end(bytes);
             OrderOutcome outcome =
                     response.map(x -> EngineCalls.orderOutcome(x.status())).orElse(OrderOutcome.UNANSWERED);
             handle(service, new MapEvent.OrderEnded(s.upstream(), s.order(), outcome));
--- a/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
@@ -22,6 +22,7 @@
 
 /** Base class of tests that run a gateway in the process of the test, with a fake platform store and fake upstreams. */
 abstract class GatewayHarness {
+    private static final double LINK_MEGABITS_PER_SECOND = 1000;
     private static final Duration AWAIT_TIMEOUT = Duration.ofSeconds(20);
 
     final int callerPort = TestPorts.allocate();
@@ -62,6 +63,7 @@
                         peerAddress,
                         peers,
                         100,
+                        LINK_MEGABITS_PER_SECOND,
                         Duration.ofSeconds(8),
                         0.2,
                         Duration.ofSeconds(10),
