Follow the demand while a map is searched for and changed

Class of fault: a control loop that pauses its sensor while it acts, and acts on a delayed one.

Counts are now read at their interval in every phase, and each 250 ms while demand shifts; a change whose map no longer fits is abandoned before it holds the group; the prepared map is read from the rank itself after the time of the copy; the next search starts in the first pass under the new map, whose time is estimated.

--- a/core/src/main/java/org/citrontide/core/expertmap/GroupMapChange.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/GroupMapChange.java
@@ -1,9 +1,12 @@
 package org.citrontide.core.expertmap;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -28,6 +31,7 @@
     static final Duration REPORT_LAG = Duration.ofMillis(300);
 
     private static final Duration POLL_INTERVAL = Duration.ofMillis(100);
+    private static final Duration PREPARED_POLL_INTERVAL = Duration.ofMillis(50);
     // A rank copies its new experts in well under a second.
     private static final Duration PREPARE_TIMEOUT = Duration.ofSeconds(4);
     private static final Duration HOLD_TIMEOUT = Duration.ofSeconds(2);
@@ -58,7 +62,11 @@
     private final RoundTimeEstimator roundTimeEstimator;
     private final long version;
     private final Optional<GroupMap> map;
+    private final Duration copyTime;
     private final OrderRound orders = new OrderRound();
+    /** Monotonic time in ns at which each rank is next asked for its prepared map. */
+    private final Map<String, Long> preparedPollNanos = new HashMap<>();
+
     private final Set<String> pendingReports = new HashSet<>();
     private State state = State.PREPARING;
     private long stateStartNanos;
@@ -74,13 +82,15 @@
             PassEstimator passEstimator,
             RoundTimeEstimator roundTimeEstimator,
             long version,
-            Optional<GroupMap> map) {
+            Optional<GroupMap> map,
+            Duration copyTime) {
         this.ranks = ranks;
         this.epoch = epoch;
         this.passEstimator = passEstimator;
         this.roundTimeEstimator = roundTimeEstimator;
         this.version = version;
         this.map = map;
+        this.copyTime = copyTime;
     }
 
     /** Starts a change by ordering every rank to prepare the map. */
@@ -92,10 +102,9 @@
             GroupMap map,
             Duration copyTime,
             EventContext context) {
-        GroupMapChange c =
-                new GroupMapChange(ranks, epoch, passEstimator, roundTimeEstimator, map.version(), Optional.of(map));
+        GroupMapChange c = new GroupMapChange(
+                ranks, epoch, passEstimator, roundTimeEstimator, map.version(), Optional.of(map), copyTime);
         c.enterState(State.PREPARING, ranks, context);
-        c.nextPollNanos = context.nowNanos() + copyTime.plus(POLL_INTERVAL).toNanos();
         return c;
     }
 
@@ -114,8 +123,8 @@
         Optional<Long> preparedVersion = reports.preparedOnAll(ranks);
         long version = preparedVersion.orElseGet(
                 () -> armed.isEmpty() ? 0 : reports.of(armed.getFirst()).armed().orElseThrow());
-        GroupMapChange c =
-                new GroupMapChange(ranks, epoch, passEstimator, roundTimeEstimator, version, Optional.empty());
+        GroupMapChange c = new GroupMapChange(
+                ranks, epoch, passEstimator, roundTimeEstimator, version, Optional.empty(), Duration.ZERO);
         c.holder = reports.holdingRanks(ranks).getFirst();
         c.holdStep = reports.of(c.holder).heldStep().orElseThrow();
         context.log(
@@ -171,7 +180,9 @@
         for (String id : orders.takeRetries()) {
             context.add(new MapAction.SendOrder(id, epoch, currentOrder()));
         }
-        if (state == State.PREPARING || state == State.ARMING) {
+        if (state == State.PREPARING) {
+            pollPreparedMaps(context);
+        } else if (state == State.ARMING) {
             pollReports(context);
         }
     }
@@ -195,6 +206,15 @@
         }
     }
 
+    /** Handles a read of the maps of a rank, which is not delayed like a report. */
+    void handleExperts(MapEvent.ExpertsRead read, EventContext context) {
+        pendingReports.remove(read.upstream());
+        OptionalLong prepared = read.preparedVersion();
+        if (state == State.PREPARING && prepared.isPresent() && prepared.getAsLong() == version) {
+            completeOrder(read.upstream(), context);
+        }
+    }
+
     /** Returns the upstream of the rank that holds the pass. */
     String holder() {
         return holder;
@@ -208,8 +228,10 @@
             orders.retry(id);
         } else if (outcome == OrderOutcome.REFUSED) {
             handleRefusal(id, context);
-        } else if (state != State.PREPARING) {
-            // A reply to prepare does not imply that the copy is complete; the report shows that.
+        } else if (state == State.PREPARING) {
+            // The copy begins when the order is accepted.
+            preparedPollNanos.putIfAbsent(id, context.nowNanos() + copyTime.toNanos());
+        } else {
             completeOrder(id, context);
         }
     }
@@ -244,6 +266,17 @@
         nextPollNanos = context.nowNanos() + REPORT_LAG.toNanos();
     }
 
+    private void pollPreparedMaps(EventContext context) {
+        for (String id : orders.pending()) {
+            Long dueNanos = preparedPollNanos.get(id);
+            if (dueNanos == null || context.nowNanos() < dueNanos || !pendingReports.add(id)) {
+                continue;
+            }
+            preparedPollNanos.put(id, context.nowNanos() + PREPARED_POLL_INTERVAL.toNanos());
+            context.add(new MapAction.ReadExperts(id));
+        }
+    }
+
     private void pollReports(EventContext context) {
         if (context.nowNanos() < nextPollNanos) {
             return;
@@ -269,8 +302,13 @@
 
     private void handleRefusal(String id, EventContext context) {
         switch (state) {
-            case PREPARING, IN_FORCE, ENDED -> {
-                // The rank already has the version, or the group has formed again; the report shows which.
+            case PREPARING -> {
+                // The rank already has the version, or the group has formed again: the next reads show which.
+                preparedPollNanos.putIfAbsent(id, context.nowNanos());
+                context.add(new MapAction.ReadReport(id));
+            }
+            case IN_FORCE, ENDED -> {
+                // No orders are in flight.
             }
             case HOLDING -> handleHoldRefusal(context);
             case ARMING -> orders.retry(id);
--- a/core/src/main/java/org/citrontide/core/expertmap/GroupMapController.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/GroupMapController.java
@@ -28,7 +28,9 @@
     // Reports lag by about twice this interval.
     private static final Duration STALE_REPORT_INTERVAL = Duration.ofMillis(100);
     private static final int MAX_STALE_REPORT_ROUNDS = 10;
-    private static final Duration DELAY_AFTER_CHANGE = Duration.ofMillis(100);
+    // Bounds of the time after which the counts are read again to find out whether a pass has started.
+    private static final Duration MIN_PASS_WAIT = Duration.ofMillis(40);
+    private static final Duration MAX_PASS_WAIT = Duration.ofMillis(250);
     private static final Duration RESPONSE_TIMEOUT = Duration.ofSeconds(4);
     private static final int SAMPLED_RANKS = 2;
     private static final int MAX_FAILED_READS = 2;
@@ -57,7 +59,9 @@
     private Phase phase = Phase.IDLE;
     private long phaseStartNanos;
     private long nextActionNanos;
+    private long nextSampleNanos;
     private final Set<String> pendingReads = new HashSet<>();
+    private final Set<String> pendingCounts = new HashSet<>();
     private final GroupReports reports = new GroupReports();
     private final Map<Integer, int[][]> expertsByRank = new TreeMap<>();
     private List<String> ranks = List.of();
@@ -156,17 +160,29 @@
                     readAllReports(context);
                 }
             }
-            case SAMPLING -> readSamples(context);
-            case CHANGING -> change.ifPresent(c -> c.tick(context));
-            case READING_EXPERTS, SEARCHING -> {
-                if (context.nowNanos() - phaseStartNanos > RESPONSE_TIMEOUT.toNanos()) {
-                    startObserving(Duration.ZERO, context);
-                }
+            case SAMPLING -> {
+                readSamples(context);
+                searchIfDue(context);
+            }
+            case CHANGING -> {
+                readSamples(context);
+                change.ifPresent(c -> c.tick(context));
             }
+            case SEARCHING -> {
+                readSamples(context);
+                observeIfOverdue(context);
+            }
+            case READING_EXPERTS -> observeIfOverdue(context);
             default -> throw new IllegalStateException("unknown phase " + phase);
         }
     }
 
+    private void observeIfOverdue(EventContext context) {
+        if (context.nowNanos() - phaseStartNanos > RESPONSE_TIMEOUT.toNanos()) {
+            startObserving(Duration.ZERO, context);
+        }
+    }
+
     private void startObserving(Duration after, EventContext context) {
         enterPhase(isElected ? Phase.OBSERVING : Phase.IDLE, context);
         nextActionNanos = context.nowNanos() + after.toNanos();
@@ -210,7 +226,7 @@
         if (report.isEmpty() || passEstimator.unchangedReads() >= UNCHANGED_READS_TO_OBSERVE) {
             startObserving(Duration.ZERO, context);
         } else if (!isIdle()) {
-            nextActionNanos = context.nowNanos();
+            nextSampleNanos = context.nowNanos();
         }
     }
 
@@ -257,7 +273,7 @@
             current = Optional.of(GroupMap.initial(profile.expertSets(), profile.expertsPerSet(), ranks.size()));
         }
         if (current.isPresent() && current.get().version() == inForce) {
-            startSampling(Duration.ZERO, context);
+            startSampling(context);
         } else {
             readExperts(context);
         }
@@ -287,6 +303,7 @@
     }
 
     private void handleExperts(MapEvent.ExpertsRead read, EventContext context) {
+        change.ifPresent(c -> c.handleExperts(read, context));
         if (phase != Phase.READING_EXPERTS) {
             return;
         }
@@ -299,29 +316,29 @@
         if (expertsByRank.size() == ranks.size()) {
             current = Optional.of(
                     GroupMap.fromRanks(read.version(), List.copyOf(expertsByRank.values()), profile.expertsPerSet()));
-            startSampling(Duration.ZERO, context);
+            startSampling(context);
         }
     }
 
-    private void startSampling(Duration after, EventContext context) {
+    private void startSampling(EventContext context) {
         enterPhase(Phase.SAMPLING, context);
-        nextActionNanos = context.nowNanos() + after.toNanos();
         failedReads = 0;
     }
 
+    /** Reads the counts of a few ranks if that is due. While a map is searched for or changed, the demand may shift. */
     private void readSamples(EventContext context) {
-        if (context.nowNanos() < nextActionNanos) {
+        if (context.nowNanos() < nextSampleNanos || !isElected) {
             return;
         }
         Duration interval = rebalancePolicy.orElseThrow().hasDemandEstimate()
                 ? rebalanceParameters().sampleInterval()
                 : INITIAL_SAMPLE_INTERVAL;
-        nextActionNanos = context.nowNanos() + interval.toNanos();
+        nextSampleNanos = context.nowNanos() + interval.toNanos();
         if (isIdle()) {
             context.add(new MapAction.ReadReport(ranks.getFirst()));
             return;
         }
-        if (context.nowNanos() >= nextSpeedReadNanos) {
+        if (phase == Phase.SAMPLING && context.nowNanos() >= nextSpeedReadNanos) {
             nextSpeedReadNanos =
                     context.nowNanos() + rebalanceParameters().speedInterval().toNanos();
             loadSummary.start(ranks, profile.slots());
@@ -330,7 +347,7 @@
         int count = Math.min(SAMPLED_RANKS, ranks.size());
         for (int i = 0; i < count; i++) {
             String id = ranks.get(i * ranks.size() / count);
-            if (pendingReads.add(id)) {
+            if (pendingCounts.add(id)) {
                 context.add(new MapAction.ReadCounts(id));
             }
         }
@@ -341,57 +358,93 @@
     }
 
     private void handleCounts(MapEvent.CountsRead read, EventContext context) {
-        if (phase != Phase.SAMPLING || !pendingReads.remove(read.upstream())) {
+        if (!pendingCounts.remove(read.upstream()) || !isSampled()) {
             return;
         }
         if (read.counts().isEmpty()) {
             failedReads++;
-            if (failedReads >= MAX_FAILED_READS) {
+            if (phase == Phase.SAMPLING && failedReads >= MAX_FAILED_READS) {
                 startObserving(Duration.ZERO, context);
             }
             return;
         }
         MapEvent.ExpertCounts counts = read.counts().get();
-        int rank = ranks.indexOf(read.upstream());
         if (counts.epoch() != epoch) {
-            newestSeenEpoch = counts.epoch();
-            startObserving(Duration.ZERO, context);
+            handleNewEpoch(counts.epoch(), context);
             return;
         }
+        int rank = ranks.indexOf(read.upstream());
         if (!rebalancePolicy.orElseThrow().recordCounts(rank, counts.counts())) {
-            startObserving(OBSERVE_INTERVAL, context);
+            if (phase == Phase.SAMPLING) {
+                startObserving(OBSERVE_INTERVAL, context);
+            }
             return;
         }
         failedReads = 0;
         passEstimator.recordStep(counts.step(), context.nowNanos());
-        if (pendingReads.isEmpty()) {
-            searchIfDue(context);
+        if (pendingCounts.isEmpty()) {
+            handleSample(context);
         }
     }
 
-    private void searchIfDue(EventContext context) {
-        if (passEstimator.unchangedReads() >= UNCHANGED_READS_TO_OBSERVE) {
+    private boolean isSampled() {
+        return phase == Phase.SAMPLING || phase == Phase.SEARCHING || phase == Phase.CHANGING;
+    }
+
+    /** Handles a new formation of the group. A change that may hold it ends by its own reads. */
+    private void handleNewEpoch(int newEpoch, EventContext context) {
+        newestSeenEpoch = newEpoch;
+        if (!isHolding()) {
+            change = Optional.empty();
             startObserving(Duration.ZERO, context);
-            return;
-        }
-        if (passEstimator.lastStep() < inForceStep) {
-            awaitPass(context);
-            return;
         }
-        rebalancePolicy.orElseThrow().updatePassTime(passEstimator.passTime(), targetGap, context.nowNanos());
-        long version = term * VERSIONS_PER_TERM + searchesInTerm + 1;
-        Optional<MapAction.SearchMap> search =
-                rebalancePolicy.orElseThrow().nextSearch(current.orElseThrow(), version, context.nowNanos());
-        if (rebalancePolicy.orElseThrow().hasDemandEstimate()) {
+    }
+
+    /** Handles the counts of all sampled ranks. */
+    private void handleSample(EventContext context) {
+        RebalancePolicy policy = rebalancePolicy.orElseThrow();
+        policy.updatePassTime(passEstimator.passTime(), targetGap, context.nowNanos());
+        policy.updateDemand(context.nowNanos());
+        if (policy.hasDemandEstimate() && current.isPresent()) {
             context.log(
                     "group-demand",
                     String.format(
-                            "pass %d pass-ms %d %s search %b",
+                            "pass %d pass-ms %d %s",
                             passEstimator.lastStep(),
                             passEstimator.passTime().toMillis(),
-                            rebalancePolicy.orElseThrow().describeDemand(current.orElseThrow()),
-                            search.isPresent()));
+                            policy.describeDemand(current.get())));
+        }
+        if (phase == Phase.CHANGING) {
+            abandonOutdatedChange(context);
+        } else if (phase == Phase.SAMPLING && passEstimator.unchangedReads() >= UNCHANGED_READS_TO_OBSERVE) {
+            startObserving(Duration.ZERO, context);
+        } else if (phase == Phase.SAMPLING && passEstimator.lastStep() < inForceStep) {
+            awaitPass(context);
+        }
+    }
+
+    /** Abandons a change that doesn't hold the group yet if its map no longer fits the demand. */
+    private void abandonOutdatedChange(EventContext context) {
+        if (isHolding() || next.isEmpty() || current.isEmpty()) {
+            return;
         }
+        RebalancePolicy policy = rebalancePolicy.orElseThrow();
+        if (policy.isWorthwhile(next.get(), current.get())) {
+            return;
+        }
+        context.log("map-change-abandoned", "version " + next.get().version() + " no longer fits the demand");
+        change = Optional.empty();
+        policy.requestEvaluation();
+        startSampling(context);
+    }
+
+    /** Starts a search if the last change is in force and the map may not fit the demand. */
+    private void searchIfDue(EventContext context) {
+        if (phase != Phase.SAMPLING || passEstimator.lastStep() < inForceStep) {
+            return;
+        }
+        long version = term * VERSIONS_PER_TERM + searchesInTerm + 1;
+        Optional<MapAction.SearchMap> search = rebalancePolicy.orElseThrow().nextSearch(current.orElseThrow(), version);
         if (search.isPresent()) {
             searchesInTerm++;
             enterPhase(Phase.SEARCHING, context);
@@ -408,12 +461,17 @@
         if (passWaits > MAX_PASS_WAITS) {
             return;
         }
-        nextActionNanos = context.nowNanos() + DELAY_AFTER_CHANGE.toNanos();
+        scheduleSampleAtStep(inForceStep, context);
         if (passWaits > 1) {
             context.add(new MapAction.SendOrder(lastHolder, epoch, new RankOrder.Go(inForceStep)));
         }
     }
 
+    private void scheduleSampleAtStep(long step, EventContext context) {
+        long wait = passEstimator.timeTo(step, context.nowNanos()).toNanos();
+        nextSampleNanos = context.nowNanos() + Math.clamp(wait, MIN_PASS_WAIT.toNanos(), MAX_PASS_WAIT.toNanos());
+    }
+
     private void handleSearchEnded(GroupMap map, EventContext context) {
         if (phase != Phase.SEARCHING) {
             return;
@@ -421,7 +479,7 @@
         RebalancePolicy policy = rebalancePolicy.orElseThrow();
         GroupMap from = current.orElseThrow();
         if (!policy.isWorthwhile(map, from)) {
-            startSampling(rebalanceParameters().sampleInterval(), context);
+            startSampling(context);
             return;
         }
         context.log("map-change-started", policy.describe(map, from));
@@ -440,8 +498,9 @@
                 lastHolder = c.holder();
                 passWaits = 0;
                 if (isElected) {
-                    rebalancePolicy.orElseThrow().requestReevaluation();
-                    startSampling(DELAY_AFTER_CHANGE, context);
+                    rebalancePolicy.orElseThrow().requestEvaluation();
+                    startSampling(context);
+                    scheduleSampleAtStep(inForceStep, context);
                 } else {
                     enterPhase(Phase.IDLE, context);
                 }
--- a/core/src/main/java/org/citrontide/core/expertmap/PassEstimator.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/PassEstimator.java
@@ -57,6 +57,11 @@
         return Duration.ofNanos((long) passNanos);
     }
 
+    /** Returns the time until a pass is expected to have started; not positive if it is expected to have started. */
+    Duration timeTo(long step, long nowNanos) {
+        return Duration.ofNanos((long) ((step - lastStep) * passNanos) - (nowNanos - lastStepNanos));
+    }
+
     /** Returns the number of a pass that is not expected to start before the given time has elapsed. */
     long stepAfter(Duration time, long nowNanos) {
         long started = lastStep + (long) ((nowNanos - lastStepNanos) / passNanos);
--- a/core/src/main/java/org/citrontide/core/expertmap/RebalanceParameters.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/RebalanceParameters.java
@@ -29,11 +29,11 @@
 
     /** Demand that shifts every few seconds, so that a gain lasts no longer than that. */
     private static final RebalanceParameters SHIFTING =
-            new RebalanceParameters(1.2, 0.12, 0.01, Duration.ofMillis(500), Duration.ofMillis(1500));
+            new RebalanceParameters(1.2, 0.12, 0.01, Duration.ofMillis(250), Duration.ofMillis(1500));
 
     /** Passes longer than the target gap: a rank may have become slow, so speeds are read more often. */
     private static final RebalanceParameters OVERDUE =
-            new RebalanceParameters(1.2, 0.12, 0.01, Duration.ofMillis(500), Duration.ofMillis(500));
+            new RebalanceParameters(1.2, 0.12, 0.01, Duration.ofMillis(250), Duration.ofMillis(500));
 
     /** Group far below its limit: only a severe skew is corrected, in case a burst follows. */
     private static final RebalanceParameters LOW_LOAD =
--- a/core/src/main/java/org/citrontide/core/expertmap/RebalancePolicy.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/RebalancePolicy.java
@@ -22,7 +22,7 @@
     private final DemandEstimator demand;
     private double[] speeds = new double[0];
     private long lastShiftNanos;
-    private boolean isReevaluationRequested;
+    private boolean isEvaluationDue;
     private RebalanceParameters parameters;
 
     RebalancePolicy(EngineProfile profile, long nowNanos) {
@@ -55,7 +55,7 @@
     /** Updates the speed of one rank; a large change requests a re-evaluation of the map. */
     void updateRankSpeed(int rank, double speed) {
         if (rank < speeds.length && speed != speeds[rank]) {
-            isReevaluationRequested |= Math.abs(speed - speeds[rank]) > MIN_SPEED_CHANGE && demand.hasEstimate();
+            isEvaluationDue |= Math.abs(speed - speeds[rank]) > MIN_SPEED_CHANGE && demand.hasEstimate();
             speeds = speeds.clone();
             speeds[rank] = speed;
         }
@@ -64,7 +64,7 @@
     /** Handles a new formation of the group: its counters restart at zero, but the demand estimate stays valid. */
     void resetCounters() {
         demand.resetCounters();
-        isReevaluationRequested = demand.hasEstimate();
+        isEvaluationDue = demand.hasEstimate();
     }
 
     /** Records the cumulative counts of a rank; returns false if their length does not fit the profile. */
@@ -77,30 +77,33 @@
     }
 
     /** Makes the next call of {@link #nextSearch} evaluate the map even without new counts. */
-    void requestReevaluation() {
-        isReevaluationRequested = true;
+    void requestEvaluation() {
+        isEvaluationDue = demand.hasEstimate();
     }
 
-    /** Returns the search for a better map to run now, or empty if none is due. */
-    Optional<MapAction.SearchMap> nextSearch(GroupMap current, long newVersion, long nowNanos) {
-        boolean isFresh = demand.update(MIN_SELECTIONS);
-        if (!isFresh && !isReevaluationRequested) {
-            return Optional.empty();
+    /** Updates the demand with the counts recorded since the last update, unless they are too few. */
+    void updateDemand(long nowNanos) {
+        if (!demand.update(MIN_SELECTIONS)) {
+            return;
         }
-        if (isFresh && demand.hasShifted()) {
+        isEvaluationDue = true;
+        if (demand.hasShifted()) {
             lastShiftNanos = nowNanos;
         }
-        isReevaluationRequested = false;
+    }
+
+    /** Returns the search for a better map to run now, or empty if the demand is unchanged or the map fits it. */
+    Optional<MapAction.SearchMap> nextSearch(GroupMap current, long newVersion) {
+        if (!isEvaluationDue) {
+            return Optional.empty();
+        }
+        isEvaluationDue = false;
         List<RankLoads> loads = loads();
         if (current.skew(loads) < parameters.minSkew()) {
             return Optional.empty();
         }
         return Optional.of(new MapAction.SearchMap(
-                current,
-                loads,
-                profile.maxNewExpertsPerPrepare(),
-                newVersion,
-                parameters.minStepGain(speeds.length)));
+                current, loads, profile.maxNewExpertsPerPrepare(), newVersion, parameters.minStepGain(speeds.length)));
     }
 
     /** Returns true if the map found saves enough expert time per pass to be activated. */
@@ -112,8 +115,7 @@
     /** Returns the log text for the demand of the last update under the map in force. */
     String describeDemand(GroupMap current) {
         return String.format(
-                "skew %.2f shifted %b selections %d",
-                current.skew(loads()), demand.hasShifted(), demand.selections());
+                "skew %.2f shifted %b selections %d", current.skew(loads()), demand.hasShifted(), demand.selections());
     }
 
     /** Returns the log text for a change of the map. */
--- a/core/src/test/java/org/citrontide/core/expertmap/GroupMapControllerTest.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/GroupMapControllerTest.java
@@ -104,7 +104,8 @@
         int before = sim.countReads();
         sim.runUntil(25_000);
         assertTrue(
-                sim.countReads() - before <= 16, (sim.countReads() - before) + " reads of counts in 18 s without a pass");
+                sim.countReads() - before <= 16,
+                (sim.countReads() - before) + " reads of counts in 18 s without a pass");
         sim.group().setIdle(false);
         int changes = sim.group().changes();
         sim.runUntil(28_000);
@@ -134,7 +135,8 @@
         withTarget.runUntil(30_000);
         assertTrue(
                 withTarget.group().changes() >= 9,
-                "the map must follow large shifts of demand: " + withTarget.group().changes() + " changes");
+                "the map must follow large shifts of demand: "
+                        + withTarget.group().changes() + " changes");
         assertTrue(
                 withTarget.countReads() < 0.8 * withoutTarget.countReads(),
                 withTarget.countReads() + " reads, against " + withoutTarget.countReads());
--- a/core/src/test/java/org/citrontide/core/expertmap/MapControllerSimulation.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/MapControllerSimulation.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 
@@ -47,8 +48,7 @@
     private int searchSteps = SEARCH_STEPS;
     private double[] lastSpeeds = new double[0];
 
-    MapControllerSimulation(
-            FakeGroup group, EngineProfile profile, long seed, double lossRate, boolean hasFaults) {
+    MapControllerSimulation(FakeGroup group, EngineProfile profile, long seed, double lossRate, boolean hasFaults) {
         this.group = group;
         this.profile = profile;
         this.processes = List.of(new ControllerProcess(profile), new ControllerProcess(profile));
@@ -175,8 +175,7 @@
                             isLost() ? Optional.empty() : Optional.of(group.countsOf(rankOf(r.upstream())));
                     scheduleEvent(process, incarnation, new MapEvent.CountsRead(r.upstream(), counts));
                 }
-                case MapAction.ReadExperts r ->
-                    scheduleEvent(process, incarnation, group.expertsOf(rankOf(r.upstream())));
+                case MapAction.ReadExperts r -> scheduleEvent(process, incarnation, readExperts(r.upstream()));
                 case MapAction.SearchMap p -> {
                     lastSpeeds = p.loads().getFirst().rankSpeeds();
                     scheduleEvent(process, incarnation, new MapEvent.SearchEnded(p.search(searchSteps)));
@@ -259,6 +258,12 @@
         tasks.add(new ScheduledTask(nowMs + ms, nextSequence++, action));
     }
 
+    private MapEvent readExperts(String upstream) {
+        return isLost()
+                ? new MapEvent.ExpertsRead(upstream, 0, Optional.empty(), OptionalLong.empty())
+                : group.expertsOf(rankOf(upstream));
+    }
+
     private boolean isLost() {
         return nowMs < FAULT_PERIOD_MS && random.nextDouble() < lossRate;
     }
--- a/core/src/test/java/org/citrontide/core/expertmap/ShiftingDemand.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/ShiftingDemand.java
@@ -81,8 +81,7 @@
     @Override
     public long passMs(GroupMap map, boolean isCopying, long nowMs) {
         shiftIfDue(nowMs);
-        double decodeMs =
-                profile.stepsPerPass() * (profile.stepMs() + profile.stepMsPerSequence() * profile.slots());
+        double decodeMs = profile.stepsPerPass() * (profile.stepMs() + profile.stepMsPerSequence() * profile.slots());
         double maxPrefillMs = prefillMs(Arrays.stream(newPromptsByRank).max().orElse(0));
         double meanPrefillMs =
                 prefillMs(Arrays.stream(newPromptsByRank).average().orElse(0));
@@ -160,7 +159,8 @@
         for (int s = 0; s < popularity.length; s++) {
             double[] p = popularity[s][topic];
             for (int e = 0; e < p.length; e++) {
-                counts[s * p.length + e] += Math.round(tokens * SELECTIONS_PER_TOKEN * p[e] + random.nextDouble() - 0.5);
+                counts[s * p.length + e] +=
+                        Math.round(tokens * SELECTIONS_PER_TOKEN * p[e] + random.nextDouble() - 0.5);
             }
         }
     }
--- a/gateway/src/main/java/org/citrontide/gateway/maps/MapControllerShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/maps/MapControllerShell.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
@@ -64,8 +65,7 @@
      *     process may have been suspended just before it
      * @param orderTimeouts determines how long a response to an order is awaited
      */
-    public MapControllerShell(
-            PlatformClient client, EventLoop loop, Runnable leaseCheck, OrderTimeouts orderTimeouts) {
+    public MapControllerShell(PlatformClient client, EventLoop loop, Runnable leaseCheck, OrderTimeouts orderTimeouts) {
         this.client = client;
         this.reports = new ReportReader(client);
         this.loop = loop;
@@ -194,7 +194,7 @@
 
     private void readExperts(String service, String id) {
         callUpstream(id, EngineCalls.readExperts(), READ_TIMEOUT, response -> {
-            MapEvent.ExpertsRead experts = new MapEvent.ExpertsRead(id, 0, Optional.empty());
+            MapEvent.ExpertsRead experts = new MapEvent.ExpertsRead(id, 0, Optional.empty(), OptionalLong.empty());
             if (response.isPresent() && response.get().status() == OK) {
                 try {
                     experts = EngineCalls.decodeExperts(id, response.get().body());
