Don't treat a request that is queued at a busy upstream as lost

Class of fault: a time limit that doesn't depend on the load.

The first event is now awaited for three times the usual time to a first event of the service, at least 0.9 s. Streams that have started are treated as before. GatewayDispatcherTest.requestQueuedAtBusyUpstreamIsNotSentElsewhereAsIfLost fails without the factor.

--- a/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
@@ -39,8 +39,6 @@
     private static final Duration MISDIRECTED_PAUSE = Duration.ofSeconds(5);
     // Pause for a member of a group that is down, while other groups of the service respond.
     private static final Duration OTHER_GROUP_PAUSE = Duration.ofSeconds(1);
-    // A stream without bytes for this long is considered lost if other streams of its service make progress.
-    private static final Duration STREAM_STALL_TIMEOUT = Duration.ofMillis(900);
     private static final Duration ACTIVITY_WINDOW = Duration.ofMillis(300);
     // If a larger fraction of the upstreams is slow, the others lack the capacity to take over their streams.
     private static final double MAX_SLOW_FRACTION = 0.25;
@@ -54,6 +52,7 @@
     private final Map<String, GatewayRetryBudget> retryBudgetByService = new HashMap<>();
     private final Map<String, AdmissionQueue> queues = new HashMap<>();
     private final Map<String, SlownessDetector> detectorByService = new HashMap<>();
+    private final Map<String, StallDetector> stallDetectorByService = new HashMap<>();
     private final Map<Long, OpenGatewayRequest> openById = new HashMap<>();
     private final Map<Long, OpenGatewayRequest> byAttempt = new HashMap<>();
     private final TreeSet<GatewayRequest> byDeadline = new TreeSet<>(
@@ -119,6 +118,10 @@
         return retryBudgetByService.computeIfAbsent(service, s -> retryBudgetFactory.get());
     }
 
+    private StallDetector stallDetector(OpenGatewayRequest open) {
+        return stallDetectorByService.computeIfAbsent(open.request.service(), s -> new StallDetector());
+    }
+
     private AdmissionQueue queue(String service) {
         return queues.computeIfAbsent(service, s -> new AdmissionQueue());
     }
@@ -200,6 +203,10 @@
             if (open.isResponseStarted) {
                 checkGap(open.request, nowNanos - attempt.progressNanos);
             }
+            if (!attempt.isStarted && progress.isResponseStarted()) {
+                attempt.isStarted = true;
+                stallDetector(open).recordFirstEvent(nowNanos - attempt.sentNanos);
+            }
             open.isResponseStarted |= progress.isResponseStarted();
             attempt.progressNanos = nowNanos;
             attempt.upstream.recordProgress(nowNanos);
@@ -429,7 +436,7 @@
             }
             OpenGatewayRequest.Attempt attempt = open.attempt.get();
             Duration timeout = open.request.route().isStreaming()
-                    ? STREAM_STALL_TIMEOUT
+                    ? stallDetector(open).timeout(attempt.isStarted)
                     : open.request.route().target().multipliedBy(STALL_TARGET_MULTIPLE);
             if (nowNanos - Math.max(attempt.progressNanos, attempt.upstream.lastProgressNanos()) < timeout.toNanos()) {
                 return false;
--- a/core/src/main/java/org/citrontide/core/gateway/OpenGatewayRequest.java
+++ b/core/src/main/java/org/citrontide/core/gateway/OpenGatewayRequest.java
@@ -20,6 +20,9 @@
         final long sentNanos;
         long progressNanos;
 
+        /** Whether the attempt has delivered a part of the response. */
+        boolean isStarted;
+
         /** Whether the attempt counts towards the limit on late requests whose response has not started. */
         boolean isLatePending;
 
--- a/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherTest.java
@@ -316,6 +316,27 @@
         assertInstanceOf(GatewayAction.SendAttempt.class, out.getLast());
     }
 
+    @Test
+    void requestQueuedAtBusyUpstreamIsNotSentElsewhereAsIfLost() {
+        for (int i = 1; i <= 30; i++) {
+            GatewayAction.SendAttempt s = send(arrive(i, Route.RetrySafety.RESUMABLE));
+            nowMs += 600;
+            handle(new GatewayEvent.ResponseProgress(s.attempt(), true));
+            end(s, new AttemptOutcome.Completed(200));
+        }
+        GatewayAction.SendAttempt queued = send(arrive(31, Route.RetrySafety.RESUMABLE));
+        GatewayAction.SendAttempt active = send(arrive(32, Route.RetrySafety.RESUMABLE));
+        assertNotEquals(queued.upstream().id(), active.upstream().id());
+        nowMs += 1000;
+        handle(new GatewayEvent.ResponseProgress(active.attempt(), true));
+        assertEquals(List.of(), handle(new GatewayEvent.Tick()), "first events take 600 ms at present");
+        nowMs += 1000;
+        handle(new GatewayEvent.ResponseProgress(active.attempt(), true));
+        assertEquals(
+                new GatewayAction.CancelAttempt(queued.attempt()),
+                handle(new GatewayEvent.Tick()).getFirst());
+    }
+
     @Test
     void requestsSpreadEvenlyOverEqualUpstreams() {
         List<String> chosen = new ArrayList<>();
