Keep retries after a burst within the requests of their own window

A gateway compared its retries with the requests of the window that ends at the retry; the retries also count in windows that end later, which after a burst have fewer requests.

The limit now uses the requests of the last half window, doubled, if these are fewer, and keeps 5% in reserve for requests that leave the window before their retries and for the time that a retry takes to arrive.

--- a/core/src/main/java/org/citrontide/core/gateway/GatewayRetryBudget.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayRetryBudget.java
@@ -7,10 +7,13 @@
 /**
  * Limits the retries that one gateway sends to a service, so that retries don't amplify an overload.
  *
- * <p>Invariant: the retries in any window are at most the ratio times the requests in that window, plus this gateway's
- * share of the slack. Not thread-safe.
+ * <p>Invariant: when a retry is spent, the retries of the window are at most the ratio times its requests, and times
+ * those expected at the present rate, plus this gateway's share of the slack. Not thread-safe.
  */
 public final class GatewayRetryBudget {
+    // Requests leave the window before the retries that they allowed, and retries reach their upstreams later.
+    private static final double USABLE_FRACTION = 0.95;
+
     private final double ratio;
     private final long windowNanos;
     private final RetrySlackShare slack;
@@ -49,13 +52,25 @@
     public boolean tryRetry(long nowNanos) {
         removeExpired(requestNanos, nowNanos);
         removeExpired(retryNanos, nowNanos);
-        if (retryNanos.size() + 1 > ratio * requestNanos.size() + slack.retriesPerWindow()) {
+        double limit = ratio * expectedRequests(nowNanos) + slack.retriesPerWindow();
+        if (retryNanos.size() + 1 > USABLE_FRACTION * limit) {
             return false;
         }
         retryNanos.add(nowNanos);
         return true;
     }
 
+    /**
+     * Returns the number of requests to expect in a window around now. A retry also counts in the windows that end
+     * later, which have fewer requests after a burst.
+     */
+    private long expectedRequests(long nowNanos) {
+        long halfNanos = windowNanos / 2;
+        long recent =
+                requestNanos.stream().filter(t -> nowNanos - t <= halfNanos).count();
+        return Math.min(requestNanos.size(), 2 * recent);
+    }
+
     private void removeExpired(Deque<Long> times, long nowNanos) {
         while (!times.isEmpty() && nowNanos - times.peekFirst() > windowNanos) {
             times.removeFirst();
