Take a map as prepared once its copy has had its time, without reads

A rank that accepts an order to prepare copies at a published rate, so its copy is taken as complete after 1.2 times that; ranks that refuse are asked by report, as before. If a copy takes longer, the order to arm is refused and sent again. The reads of counts move to DemandSampler.

--- a/core/src/main/java/org/citrontide/core/expertmap/GroupMapChange.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/GroupMapChange.java
@@ -1,26 +1,27 @@
 package org.citrontide.core.expertmap;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 
 /**
  * One change of the expert map of a group, from the first order until the new map is in force.
  *
- * <p>The steps are: prepare the map on every rank; wait until every rank reports it as prepared; hold a later pass on
- * one rank; arm every rank for that pass; release the pass. Orders may be carried out late, so each is retried until it
- * is answered. After the hold the change is not rolled back: a controller that finds it in progress arms the remaining
- * ranks and releases the pass.
+ * <p>The steps are: prepare the map on every rank; wait until every rank has copied its new experts; hold a later
+ * pass on one rank; arm every rank for that pass; release the pass. Orders may be carried out late, so each is retried
+ * until it is answered. After the hold the change is not rolled back: a controller that finds it in progress arms the
+ * remaining ranks and releases the pass.
  *
  * <p>Invariants:
  *
  * <ul>
- *   <li>A rank is armed only after every rank of the group has reported the map as prepared.
+ *   <li>A rank is armed only after every rank of the group has accepted the map and had the time to copy it, or has
+ *       reported it as prepared.
  *   <li>The held pass is released only after every rank has confirmed that it is armed for it, or if no rank is armed.
  * </ul>
  *
@@ -31,7 +32,8 @@
     static final Duration REPORT_LAG = Duration.ofMillis(300);
 
     private static final Duration POLL_INTERVAL = Duration.ofMillis(100);
-    private static final Duration PREPARED_POLL_INTERVAL = Duration.ofMillis(50);
+    // The other ranks take a part of the rate of the link.
+    private static final double COPY_TIME_MARGIN = 1.2;
     // A rank copies its new experts in well under a second.
     private static final Duration PREPARE_TIMEOUT = Duration.ofSeconds(4);
     private static final Duration HOLD_TIMEOUT = Duration.ofSeconds(2);
@@ -64,8 +66,11 @@
     private final Optional<GroupMap> map;
     private final Duration copyTime;
     private final OrderRound orders = new OrderRound();
-    /** Monotonic time in ns at which each rank is next asked for its prepared map. */
-    private final Map<String, Long> preparedPollNanos = new HashMap<>();
+    /** Monotonic time in ns at which each rank that accepted the map has copied its new experts. */
+    private final Map<String, Long> copyEndNanos = new HashMap<>();
+
+    /** Ranks that refused to prepare the map, because they have it or because the group has formed again. */
+    private final Set<String> refusing = new HashSet<>();
 
     private final Set<String> pendingReports = new HashSet<>();
     private State state = State.PREPARING;
@@ -181,9 +186,12 @@
             context.add(new MapAction.SendOrder(id, epoch, currentOrder()));
         }
         if (state == State.PREPARING) {
-            pollPreparedMaps(context);
+            completeCopies(context);
+        }
+        if (state == State.PREPARING) {
+            pollReports(refusing, context);
         } else if (state == State.ARMING) {
-            pollReports(context);
+            pollReports(orders.pending(), context);
         }
     }
 
@@ -198,7 +206,10 @@
             state = State.ENDED;
             return;
         }
-        if (state == State.PREPARING && r.prepared().isPresent() && r.prepared().getAsLong() == version) {
+        if (state == State.PREPARING
+                && orders.isPending(id)
+                && r.prepared().isPresent()
+                && r.prepared().getAsLong() == version) {
             completeOrder(id, context);
         }
         if (state == State.ARMING) {
@@ -206,15 +217,6 @@
         }
     }
 
-    /** Handles a read of the maps of a rank, which is not delayed like a report. */
-    void handleExperts(MapEvent.ExpertsRead read, EventContext context) {
-        pendingReports.remove(read.upstream());
-        OptionalLong prepared = read.preparedVersion();
-        if (state == State.PREPARING && prepared.isPresent() && prepared.getAsLong() == version) {
-            completeOrder(read.upstream(), context);
-        }
-    }
-
     /** Returns the upstream of the rank that holds the pass. */
     String holder() {
         return holder;
@@ -229,8 +231,8 @@
         } else if (outcome == OrderOutcome.REFUSED) {
             handleRefusal(id, context);
         } else if (state == State.PREPARING) {
-            // The copy begins when the order is accepted.
-            preparedPollNanos.putIfAbsent(id, context.nowNanos() + copyTime.toNanos());
+            // The copy starts when the order is accepted.
+            copyEndNanos.putIfAbsent(id, context.nowNanos() + (long) (COPY_TIME_MARGIN * copyTime.toNanos()));
         } else {
             completeOrder(id, context);
         }
@@ -266,23 +268,22 @@
         nextPollNanos = context.nowNanos() + REPORT_LAG.toNanos();
     }
 
-    private void pollPreparedMaps(EventContext context) {
+    /** Completes the orders of the ranks whose copies have ended by now. Reports would tell, but lag. */
+    private void completeCopies(EventContext context) {
         for (String id : orders.pending()) {
-            Long dueNanos = preparedPollNanos.get(id);
-            if (dueNanos == null || context.nowNanos() < dueNanos || !pendingReports.add(id)) {
-                continue;
+            Long end = copyEndNanos.get(id);
+            if (state == State.PREPARING && end != null && context.nowNanos() >= end) {
+                completeOrder(id, context);
             }
-            preparedPollNanos.put(id, context.nowNanos() + PREPARED_POLL_INTERVAL.toNanos());
-            context.add(new MapAction.ReadExperts(id));
         }
     }
 
-    private void pollReports(EventContext context) {
+    private void pollReports(Collection<String> targets, EventContext context) {
         if (context.nowNanos() < nextPollNanos) {
             return;
         }
         nextPollNanos = context.nowNanos() + POLL_INTERVAL.toNanos();
-        for (String id : orders.pending()) {
+        for (String id : targets) {
             if (pendingReports.add(id)) {
                 context.add(new MapAction.ReadReport(id));
             }
@@ -303,9 +304,7 @@
     private void handleRefusal(String id, EventContext context) {
         switch (state) {
             case PREPARING -> {
-                // The rank already has the version, or the group has formed again: the next reads show which.
-                preparedPollNanos.putIfAbsent(id, context.nowNanos());
-                context.add(new MapAction.ReadReport(id));
+                refusing.add(id);
             }
             case IN_FORCE, ENDED -> {
                 // No orders are in flight.
--- a/core/src/main/java/org/citrontide/core/expertmap/GroupMapController.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/GroupMapController.java
@@ -28,11 +28,7 @@
     // Reports lag by about twice this interval.
     private static final Duration STALE_REPORT_INTERVAL = Duration.ofMillis(100);
     private static final int MAX_STALE_REPORT_ROUNDS = 10;
-    // Bounds of the time after which the counts are read again to find out whether a pass has started.
-    private static final Duration MIN_PASS_WAIT = Duration.ofMillis(40);
-    private static final Duration MAX_PASS_WAIT = Duration.ofMillis(250);
     private static final Duration RESPONSE_TIMEOUT = Duration.ofSeconds(4);
-    private static final int SAMPLED_RANKS = 2;
     private static final int MAX_FAILED_READS = 2;
     // Neither of the two sampled ranks reported a new pass: the group may be idle, and a report costs less than counts.
     private static final int UNCHANGED_READS_TO_IDLE = 2;
@@ -59,9 +55,8 @@
     private Phase phase = Phase.IDLE;
     private long phaseStartNanos;
     private long nextActionNanos;
-    private long nextSampleNanos;
+    private final DemandSampler sampler = new DemandSampler();
     private final Set<String> pendingReads = new HashSet<>();
-    private final Set<String> pendingCounts = new HashSet<>();
     private final GroupReports reports = new GroupReports();
     private final Map<Integer, int[][]> expertsByRank = new TreeMap<>();
     private List<String> ranks = List.of();
@@ -226,7 +221,7 @@
         if (report.isEmpty() || passEstimator.unchangedReads() >= UNCHANGED_READS_TO_OBSERVE) {
             startObserving(Duration.ZERO, context);
         } else if (!isIdle()) {
-            nextSampleNanos = context.nowNanos();
+            sampler.schedule(Duration.ZERO, context.nowNanos());
         }
     }
 
@@ -281,6 +276,7 @@
 
     private void adoptGroup(List<String> ids, EventContext context) {
         ranks = ids;
+        sampler.clear();
         RankReport first = reports.of(ids.getFirst());
         double[] speeds = ids.stream().mapToDouble(id -> speed(reports.of(id))).toArray();
         passEstimator.reset(first.step(), context.nowNanos());
@@ -303,7 +299,6 @@
     }
 
     private void handleExperts(MapEvent.ExpertsRead read, EventContext context) {
-        change.ifPresent(c -> c.handleExperts(read, context));
         if (phase != Phase.READING_EXPERTS) {
             return;
         }
@@ -327,13 +322,13 @@
 
     /** Reads the counts of a few ranks if that is due. While a map is searched for or changed, the demand may shift. */
     private void readSamples(EventContext context) {
-        if (context.nowNanos() < nextSampleNanos || !isElected) {
+        if (!isElected || !sampler.isDue(context.nowNanos())) {
             return;
         }
         Duration interval = rebalancePolicy.orElseThrow().hasDemandEstimate()
                 ? rebalanceParameters().sampleInterval()
                 : INITIAL_SAMPLE_INTERVAL;
-        nextSampleNanos = context.nowNanos() + interval.toNanos();
+        sampler.schedule(interval, context.nowNanos());
         if (isIdle()) {
             context.add(new MapAction.ReadReport(ranks.getFirst()));
             return;
@@ -344,13 +339,7 @@
             loadSummary.start(ranks, profile.slots());
             ranks.forEach(id -> context.add(new MapAction.ReadReport(id)));
         }
-        int count = Math.min(SAMPLED_RANKS, ranks.size());
-        for (int i = 0; i < count; i++) {
-            String id = ranks.get(i * ranks.size() / count);
-            if (pendingCounts.add(id)) {
-                context.add(new MapAction.ReadCounts(id));
-            }
-        }
+        sampler.requestReads(ranks, context);
     }
 
     private RebalanceParameters rebalanceParameters() {
@@ -358,7 +347,7 @@
     }
 
     private void handleCounts(MapEvent.CountsRead read, EventContext context) {
-        if (!pendingCounts.remove(read.upstream()) || !isSampled()) {
+        if (!sampler.recordEnd(read.upstream()) || !isSampled()) {
             return;
         }
         if (read.counts().isEmpty()) {
@@ -382,7 +371,7 @@
         }
         failedReads = 0;
         passEstimator.recordStep(counts.step(), context.nowNanos());
-        if (pendingCounts.isEmpty()) {
+        if (sampler.isComplete()) {
             handleSample(context);
         }
     }
@@ -406,13 +395,7 @@
         policy.updatePassTime(passEstimator.passTime(), targetGap, context.nowNanos());
         policy.updateDemand(context.nowNanos());
         if (policy.hasDemandEstimate() && current.isPresent()) {
-            context.log(
-                    "group-demand",
-                    String.format(
-                            "pass %d pass-ms %d %s",
-                            passEstimator.lastStep(),
-                            passEstimator.passTime().toMillis(),
-                            policy.describeDemand(current.get())));
+            context.log("group-demand", passEstimator.describe() + " " + policy.describeDemand(current.get()));
         }
         if (phase == Phase.CHANGING) {
             abandonOutdatedChange(context);
@@ -461,17 +444,12 @@
         if (passWaits > MAX_PASS_WAITS) {
             return;
         }
-        scheduleSampleAtStep(inForceStep, context);
+        sampler.scheduleAtStep(inForceStep, passEstimator, context.nowNanos());
         if (passWaits > 1) {
             context.add(new MapAction.SendOrder(lastHolder, epoch, new RankOrder.Go(inForceStep)));
         }
     }
 
-    private void scheduleSampleAtStep(long step, EventContext context) {
-        long wait = passEstimator.timeTo(step, context.nowNanos()).toNanos();
-        nextSampleNanos = context.nowNanos() + Math.clamp(wait, MIN_PASS_WAIT.toNanos(), MAX_PASS_WAIT.toNanos());
-    }
-
     private void handleSearchEnded(GroupMap map, EventContext context) {
         if (phase != Phase.SEARCHING) {
             return;
@@ -500,7 +478,7 @@
                 if (isElected) {
                     rebalancePolicy.orElseThrow().requestEvaluation();
                     startSampling(context);
-                    scheduleSampleAtStep(inForceStep, context);
+                    sampler.scheduleAtStep(inForceStep, passEstimator, context.nowNanos());
                 } else {
                     enterPhase(Phase.IDLE, context);
                 }
--- a/core/src/main/java/org/citrontide/core/expertmap/MapEvent.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/MapEvent.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 
 /** An event that a {@link GroupMapController} handles. Immutable; arrays must not be modified. */
 public sealed interface MapEvent {
@@ -62,10 +61,8 @@
      * @param upstream identity of the upstream
      * @param version version of the map in force
      * @param experts experts by set, empty if the read failed
-     * @param preparedVersion version of the map that is ready to be armed
      */
-    record ExpertsRead(String upstream, long version, Optional<int[][]> experts, OptionalLong preparedVersion)
-            implements MapEvent {}
+    record ExpertsRead(String upstream, long version, Optional<int[][]> experts) implements MapEvent {}
 
     /**
      * A reply to an order arrived, or the order timed out.
--- a/core/src/main/java/org/citrontide/core/expertmap/PassEstimator.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/PassEstimator.java
@@ -57,6 +57,11 @@
         return Duration.ofNanos((long) passNanos);
     }
 
+    /** Returns the log text for the last known pass. */
+    String describe() {
+        return "pass " + lastStep + " pass-ms " + passTime().toMillis();
+    }
+
     /** Returns the time until a pass is expected to have started; not positive if it is expected to have started. */
     Duration timeTo(long step, long nowNanos) {
         return Duration.ofNanos((long) ((step - lastStep) * passNanos) - (nowNanos - lastStepNanos));
--- a/core/src/main/java/org/citrontide/core/expertmap/RebalanceParameters.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/RebalanceParameters.java
@@ -57,7 +57,7 @@
         return passTime.toNanos() < LOW_LOAD_FRACTION * targetGap.toNanos() ? LOW_LOAD : SHIFTING;
     }
 
-    /** Returns the fraction by which each copy must reduce the load of the most loaded ranks in a group of this size. */
+    /** Returns the fraction by which each copy must reduce the load of the most loaded ranks of a group. */
     double minStepGain(int ranks) {
         return minStepGain * Math.min(1, (double) REFERENCE_RANKS / ranks);
     }
--- a/gateway/src/main/java/org/citrontide/gateway/maps/MapControllerShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/maps/MapControllerShell.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
@@ -194,7 +193,7 @@
 
     private void readExperts(String service, String id) {
         callUpstream(id, EngineCalls.readExperts(), READ_TIMEOUT, response -> {
-            MapEvent.ExpertsRead experts = new MapEvent.ExpertsRead(id, 0, Optional.empty(), OptionalLong.empty());
+            MapEvent.ExpertsRead experts = new MapEvent.ExpertsRead(id, 0, Optional.empty());
             if (response.isPresent() && response.get().status() == OK) {
                 try {
                     experts = EngineCalls.decodeExperts(id, response.get().body());
