Bound the bytes of an incomplete event of a stream

The users report upstreams that send bytes without end which are no answer. A streaming response that contains no event was kept whole while it arrived, and copied with each read, until the caller's deadline: on a link of 28 Mbit/s 28 MB in 8 s, beside a heap of 64 MB. An attempt whose incomplete event exceeds 256 KB now ends as broken, so that the stream can be resumed at another upstream. EventStreamMergerTest.bytesWithoutEndBreakTheAttemptAndAnotherOneContinues keeps 6.4 MB without the limit. Not covered by a run over sockets.

--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
@@ -178,7 +178,7 @@
             return;
         }
         byte[] events = exchange.eventMerger.add(data);
-        if (exchange.eventMerger.hasGap()) {
+        if (exchange.eventMerger.isBroken()) {
             connectionPool.cancel(attempt);
             attemptEnded(attempt, new AttemptOutcome.Broken(Reason.ANSWER_BROKEN));
             return;
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/EventStreamMerger.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/EventStreamMerger.java
@@ -8,15 +8,18 @@
 /**
  * Merges the server-sent events that the attempts of one request return into a single stream without duplicates.
  *
- * <p>Invariants: the numbers of the returned events increase by one each; no event is returned in part. Not
- * thread-safe.
+ * <p>Invariants: the numbers of the returned events increase by one each; no event is returned in part; at most
+ * {@value #MAX_EVENT_BYTES} bytes of an incomplete event are kept. Not thread-safe.
  */
 public final class EventStreamMerger {
+    // A faulty upstream may send bytes without end that contain no event.
+    private static final int MAX_EVENT_BYTES = 256 * 1024;
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
     private byte[] partialEvent = new byte[0];
     private OptionalLong lastEventId = OptionalLong.empty();
     private boolean hasGap;
+    private boolean isOversized;
 
     /**
      * Adds bytes of the current attempt.
@@ -25,6 +28,9 @@
      * @return the complete events that the caller has not received yet, empty if there are none
      */
     public byte[] add(byte[] data) {
+        if (isOversized) {
+            return new byte[0];
+        }
         byte[] all = partialEvent.length == 0 ? data : concatenate(partialEvent, data);
         ByteArrayOutputStream out = new ByteArrayOutputStream(all.length);
         int start = 0;
@@ -34,13 +40,15 @@
             }
             start = end;
         }
-        partialEvent = Arrays.copyOfRange(all, start, all.length);
+        isOversized = all.length - start > MAX_EVENT_BYTES;
+        partialEvent = isOversized ? new byte[0] : Arrays.copyOfRange(all, start, all.length);
         return out.toByteArray();
     }
 
     /** Discards the received part of an incomplete event, which another attempt will send in full. */
     public void discardPartialEvent() {
         partialEvent = new byte[0];
+        isOversized = false;
     }
 
     /**
@@ -53,12 +61,12 @@
     }
 
     /**
-     * Returns whether an event is missing.
+     * Returns whether the current attempt can't continue the stream, because an event is missing or too large.
      *
-     * @return true if the stream can't be completed
+     * @return true if the attempt is to be cancelled
      */
-    public boolean hasGap() {
-        return hasGap;
+    public boolean isBroken() {
+        return hasGap || isOversized;
     }
 
     /**
--- a/gateway/src/test/java/org/citrontide/gateway/upstream/EventStreamMergerTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/upstream/EventStreamMergerTest.java
@@ -36,14 +36,28 @@
         assertEquals(3, merger.lastEventId().getAsLong());
         merger.discardPartialEvent();
         assertEquals(events(4, 6), add(merger, events(2, 6)));
-        assertFalse(merger.hasGap());
+        assertFalse(merger.isBroken());
     }
 
     @Test
     void aMissingEventIsDetected() {
         add(merger, events(1, 3));
         assertEquals("", add(merger, events(5, 6)));
-        assertTrue(merger.hasGap());
+        assertTrue(merger.isBroken());
+    }
+
+    @Test
+    void bytesWithoutEndBreakTheAttemptAndAnotherOneContinues() {
+        add(merger, events(1, 3));
+        String garbage = "x".repeat(64 * 1024);
+        for (int i = 0; i < 100; i++) {
+            assertEquals("", add(merger, garbage));
+        }
+        assertTrue(merger.isBroken());
+        assertTrue(merger.isAtEventBoundary(), "no bytes of the endless event are kept");
+        merger.discardPartialEvent();
+        assertEquals(events(4, 6), add(merger, events(1, 6)));
+        assertFalse(merger.isBroken());
     }
 
     @Test
