Correct comments on copies, candidates and reads of counts

Found while reading the change as a newcomer: one comment guessed a cause, one gave no bound, and the controller's class comment didn't say that the counts are read during changes. No code changed.

--- a/core/src/main/java/org/citrontide/core/expertmap/DemandSampler.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/DemandSampler.java
@@ -11,7 +11,7 @@
  * <p>Invariant: at most one read of a rank is in flight. Not thread-safe.
  */
 final class DemandSampler {
-    // Each read pauses the group.
+    // Each read pauses the group for a few milliseconds.
     private static final int SAMPLED_RANKS = 2;
     // Bounds of the time after which the counts are read again to find out whether a pass has started.
     private static final Duration MIN_PASS_WAIT = Duration.ofMillis(40);
--- a/core/src/main/java/org/citrontide/core/expertmap/GroupMapChange.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/GroupMapChange.java
@@ -32,7 +32,7 @@
     static final Duration REPORT_LAG = Duration.ofMillis(300);
 
     private static final Duration POLL_INTERVAL = Duration.ofMillis(100);
-    // The other ranks take a part of the rate of the link.
+    // Allows for copies that are slower than at the published rate.
     private static final double COPY_TIME_MARGIN = 1.2;
     // A rank copies its new experts in well under a second.
     private static final Duration PREPARE_TIMEOUT = Duration.ofSeconds(4);
@@ -268,7 +268,7 @@
         nextPollNanos = context.nowNanos() + REPORT_LAG.toNanos();
     }
 
-    /** Completes the orders of the ranks whose copies have ended by now. Reports would tell, but lag. */
+    /** Completes the orders of the ranks whose copies should have ended; reports would show that with a delay. */
     private void completeCopies(EventContext context) {
         for (String id : orders.pending()) {
             Long end = copyEndNanos.get(id);
--- a/core/src/main/java/org/citrontide/core/expertmap/GroupMapController.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/GroupMapController.java
@@ -19,6 +19,8 @@
  * <p>Invariants: before a new change starts, the reports of all ranks are read, and a change found in progress is
  * completed; at most one change is in progress at a time; a map version is used in one term only.
  *
+ * <p>The counts are read while a map is searched for and changed as well, because the demand may shift meanwhile.
+ *
  * <p>Not thread-safe: confined to one thread. It does no I/O and reads no clock.
  */
 public final class GroupMapController {
--- a/core/src/main/java/org/citrontide/core/lease/CandidacyDelay.java
+++ b/core/src/main/java/org/citrontide/core/lease/CandidacyDelay.java
@@ -17,7 +17,7 @@
     private static final long REFERENCE_ROUND_BITS = 8_000_000;
     private static final double BITS_PER_MEGABIT = 1e6;
     private static final double NANOS_PER_SECOND = 1e9;
-    // The term of a leader matters more than a short vacancy, but a vacancy must stay short on any link.
+    // Bounds the time without a leader if all links are slow.
     private static final Duration MAX_LINK_DELAY = Duration.ofSeconds(1);
 
     private final Duration linkDelay;
