--- a/core/src/main/java/org/citrontide/core/gateway/GatewayRequest.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayRequest.java
@@ -1,6 +1,7 @@
 package org.citrontide.core.gateway;
 
 import java.time.Duration;
+import java.util.List;
 
 import org.citrontide.core.routes.Route;
 
@@ -14,6 +15,8 @@
  * @param rank rank in the admission order, 0 first
  * @param promptTokens number of prompt tokens, 0 if there is no prompt
  * @param completionTokens expected number of completion tokens, 0 if there is no completion
+ * @param sharedParts identifiers of the prompt's parts in their order, without the last part, which belongs to this
+ *     request or its session alone
  * @param waited estimated time that the caller had waited before this request arrived
  * @param arrivedNanos monotonic time of arrival in ns
  * @param deadlineNanos monotonic time in ns by which the final response is due
@@ -26,12 +29,18 @@
         int rank,
         int promptTokens,
         int completionTokens,
+        List<String> sharedParts,
         Duration waited,
         long arrivedNanos,
         long deadlineNanos) {
     // Ranks late requests behind all that can still be on time; the platform distinguishes ten ranks.
     private static final int LATE_RANK_OFFSET = 3;
 
+    /** Copies the list. */
+    public GatewayRequest {
+        sharedParts = List.copyOf(sharedParts);
+    }
+
     /**
      * Returns whether the response can no longer be on time.
      *
--- a/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherFaultTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherFaultTest.java
@@ -132,8 +132,8 @@
             long id = ++lastId;
             long deadline = nowMs + 200 + random.nextInt(TIMEOUT_MS - 200);
             requests.put(id, new TrackedRequest(retrySafety, deadline));
-            handle(new GatewayEvent.RequestArrived(
-                    new GatewayRequest(id, route, "s", "t", 0, 0, 0, Duration.ZERO, nowMs * MS, deadline * MS)));
+            handle(new GatewayEvent.RequestArrived(new GatewayRequest(
+                    id, route, "s", "t", 0, 0, 0, List.of(), Duration.ZERO, nowMs * MS, deadline * MS)));
         }
 
         private void disconnect() {
--- a/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherTest.java
@@ -389,8 +389,8 @@
                 2,
                 0,
                 false);
-        return handle(new GatewayEvent.RequestArrived(
-                new GatewayRequest(id, route, "s", "t", rank, 0, 0, waited, nowMs * MS, (nowMs + 4000) * MS)));
+        return handle(new GatewayEvent.RequestArrived(new GatewayRequest(
+                id, route, "s", "t", rank, 0, 0, List.of(), waited, nowMs * MS, (nowMs + 4000) * MS)));
     }
 
     private List<GatewayAction> end(GatewayAction.SendAttempt s, AttemptOutcome outcome) {
--- a/core/src/test/java/org/citrontide/core/gateway/GroupOutageLoadTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/GroupOutageLoadTest.java
@@ -206,6 +206,7 @@
                             c.rank,
                             700,
                             140,
+                            List.of(),
                             Duration.ofMillis(nowMs - c.arrivedMs),
                             nowMs * MS,
                             end)));
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
@@ -233,6 +233,7 @@
                 rank,
                 tokens.prompt(),
                 tokens.completion(),
+                PromptParts.parseShared(callerRequest.headers()),
                 waitEstimator.estimateWait(route.name(), timeout),
                 now,
                 now + timeout.toNanos());
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/RequestLog.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/RequestLog.java
@@ -1,6 +1,7 @@
 package org.citrontide.gateway.dispatch;
 
 import java.time.Duration;
+import java.util.List;
 
 import org.citrontide.core.gateway.AttemptOutcome;
 import org.citrontide.core.gateway.GatewayAction;
@@ -21,6 +22,8 @@
     private static final EventLog LOG = EventLog.of(RequestLog.class);
     // Ten times the usual request rate of one gateway; above it, a sample is as informative.
     private static final int LINES_PER_SECOND = 100;
+    // Bounds the length of a line.
+    private static final int MAX_PARTS = 8;
 
     private final LogRateLimiter successLimiter = new LogRateLimiter(LINES_PER_SECOND);
     private final LogRateLimiter failureLimiter = new LogRateLimiter(LINES_PER_SECOND);
@@ -65,6 +68,8 @@
                                     .map(head -> Integer.toString(head.status()))
                                     .orElse("none"))
                     .with("outcome", outcome)
+                    .with("started", exchange.responseStarted)
+                    .with("parts", parts(exchange))
                     .with("age-ms", ageMillis(exchange))
                     .write();
         }
@@ -92,6 +97,8 @@
                 .with("configuration", version)
                 .with("outcome", outcome)
                 .with("reason", reason)
+                .with("started", exchange.responseStarted)
+                .with("parts", parts(exchange))
                 .with("age-ms", ageMillis(exchange));
         if (suppressed > 0) {
             line.with("lines-suppressed", suppressed);
@@ -119,6 +126,11 @@
         return id == null ? "none" : id;
     }
 
+    private static String parts(OpenExchange exchange) {
+        List<String> parts = exchange.request.sharedParts();
+        return parts.isEmpty() ? "none" : String.join(",", parts.subList(0, Math.min(parts.size(), MAX_PARTS)));
+    }
+
     private static long ageMillis(OpenExchange exchange) {
         return Duration.ofNanos(System.nanoTime() - exchange.request.arrivedNanos())
                 .toMillis();
