--- a/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
@@ -36,6 +36,7 @@
     void start() throws IOException {
         store = new FakePlatformStore();
         daemon = createGateway(
+                "vm1",
                 callerPort,
                 adminPort,
                 store,
@@ -48,6 +49,7 @@
     }
 
     static GatewayDaemon createGateway(
+            String vm,
             int callerPort,
             int adminPort,
             FakePlatformStore store,
@@ -55,7 +57,7 @@
             List<InetSocketAddress> peers) {
         return new GatewayDaemon(
                 new GatewaySettings(
-                        "vm1",
+                        vm,
                         "z1",
                         localAddress(callerPort),
                         localAddress(adminPort),
--- a/gateway/src/test/java/org/citrontide/gateway/GatewayTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/GatewayTest.java
@@ -302,6 +302,7 @@
             peerStore.put(
                     "op/config", configuration(9).replace("key-1", "key-2").replace("/stream/", "/flow/"));
             createGateway(
+                            "vm2",
                             TestPorts.allocate(),
                             TestPorts.allocate(),
                             peerStore,
