Keep prompts with a part that crashes upstreams away from them

Cause: a retry and a new request were decided on the state of the upstreams alone. Nothing remembered what had been in flight when an upstream crashed, so the gateway itself sent the request on to the next upstream, the waiting ones were all released when the group opened, and no gateway knew what another had seen. Class: retries and queues that amplify a fault carried by the request.

Ruled out: load, orders of the map controller (timeline).

Fix: after a loss the gateway asks the upstream's host for a connection; a refusal is a crash. Gateways share what was unanswered in crashes, and which suspects were answered since, through the store, and refuse a part after two incidents (three if it was answered before). A request that may have crashed its upstream is not sent to another. See docs/decisions/0008.

--- a/core/src/main/java/org/citrontide/core/gateway/AttemptOutcome.java
+++ b/core/src/main/java/org/citrontide/core/gateway/AttemptOutcome.java
@@ -17,7 +17,18 @@
      *
      * @param status HTTP status
      */
-    record Completed(int status) implements AttemptOutcome {}
+    record Completed(int status) implements AttemptOutcome {
+        private static final int REDIRECTION = 300;
+
+        /**
+         * Returns whether the upstream answered the request as asked.
+         *
+         * @return true for a status below 300
+         */
+        public boolean isSuccess() {
+            return status < REDIRECTION;
+        }
+    }
 
     /**
      * The upstream ran the request and failed; its complete response is available.
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayAction.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayAction.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import java.util.List;
 
+import org.citrontide.core.quarantine.CrashEvidence;
+import org.citrontide.core.quarantine.PromptQuarantine;
 import org.citrontide.core.routes.ListedUpstream;
 import org.citrontide.core.verdict.Verdict;
 
@@ -74,4 +76,25 @@
      * @param waiting number of requests that wait for the group
      */
     record ReportGroupState(String service, boolean isDown, int waiting) implements GatewayAction {}
+
+    /**
+     * Checks whether an upstream crashed, by opening a connection to it. The result is an event.
+     *
+     * @param upstream the upstream to check
+     */
+    record CheckUpstream(ListedUpstream upstream) implements GatewayAction {}
+
+    /**
+     * Reports an observation on a crash to all gateways.
+     *
+     * @param evidence the observation
+     */
+    record PublishEvidence(CrashEvidence evidence) implements GatewayAction {}
+
+    /**
+     * Reports that a part of prompts entered or left quarantine.
+     *
+     * @param decision the change
+     */
+    record ReportQuarantine(PromptQuarantine.Decision decision) implements GatewayAction {}
 }
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayEvent.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayEvent.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.citrontide.core.quarantine.CrashEvidence;
 import org.citrontide.core.routes.ListedUpstream;
 
 /** An event that a {@link GatewayDispatcher} handles. Immutable. */
@@ -58,6 +59,27 @@
      */
     record SpeedReported(String upstream, double slowness) implements GatewayEvent {}
 
+    /**
+     * An upstream was checked for a crash.
+     *
+     * @param upstream the upstream
+     * @param isRefused whether its host refused a connection; false if it was accepted or got no response
+     */
+    record UpstreamChecked(ListedUpstream upstream, boolean isRefused) implements GatewayEvent {}
+
+    /**
+     * The gateways' evidence on crashes changed.
+     *
+     * @param evidence observations of all gateways, including this one
+     */
+    record CrashEvidenceUpdated(List<CrashEvidence> evidence) implements GatewayEvent {
+
+        /** Copies the list. */
+        public CrashEvidenceUpdated {
+            evidence = List.copyOf(evidence);
+        }
+    }
+
     /** The periodic timer fired. */
     record Tick() implements GatewayEvent {}
 }
--- a/core/src/main/java/org/citrontide/core/gateway/OpenGatewayRequest.java
+++ b/core/src/main/java/org/citrontide/core/gateway/OpenGatewayRequest.java
@@ -23,6 +23,12 @@
         /** Whether the attempt has delivered a part of the response. */
         boolean isStarted;
 
+        /** Time of the first part of the response, undefined before it is started. */
+        long startedNanos;
+
+        /** Whether the upstream has answered for long enough not to crash on the prompt. */
+        boolean isAnswered;
+
         /** Whether the attempt counts towards the limit on late requests whose response has not started. */
         boolean isLatePending;
 
@@ -44,6 +50,9 @@
     /** Reason why an earlier attempt may have run, empty if none may have. */
     Optional<Reason> mayHaveRunReason = Optional.empty();
 
+    /** Instance key of the upstream whose check for a crash the request waits for, empty if it waits for none. */
+    Optional<String> awaitedCheck = Optional.empty();
+
     /** Whether the head of the response has been sent to the caller. */
     boolean isResponseStarted;
 
--- a/core/src/main/java/org/citrontide/core/gateway/UpstreamState.java
+++ b/core/src/main/java/org/citrontide/core/gateway/UpstreamState.java
@@ -18,6 +18,10 @@
     private static final long HEALTH_RECOVERY_NANOS = Duration.ofSeconds(3).toNanos();
     private static final long FIRST_PAUSE_NANOS = Duration.ofMillis(500).toNanos();
     private static final int MAX_DOUBLINGS = 3;
+    // About the duration of one response of a plain service.
+    private static final Duration QUEUE_FULL_PAUSE = Duration.ofMillis(60);
+    // The address belongs to another upstream until an update of the upstream list says otherwise.
+    private static final Duration MISDIRECTED_PAUSE = Duration.ofSeconds(5);
     // A member slower than this delays its group by more than the work it contributes.
     private static final double SLOW_THRESHOLD = 2;
 
@@ -130,6 +134,15 @@
         consecutiveUnreachable++;
     }
 
+    void recordRejection(AttemptOutcome.Rejected.Cause cause, long nowNanos) {
+        Duration duration = switch (cause) {
+            case FULL -> QUEUE_FULL_PAUSE;
+            case MISDIRECTED -> MISDIRECTED_PAUSE;
+            case GROUP_BROKEN, UNACCEPTABLE -> Duration.ZERO;
+        };
+        pause(duration.toNanos(), nowNanos);
+    }
+
     void pause(long nanos, long nowNanos) {
         hasPause = true;
         pausedUntilNanos = nowNanos + nanos;
--- a/core/src/main/java/org/citrontide/core/routes/ListedUpstream.java
+++ b/core/src/main/java/org/citrontide/core/routes/ListedUpstream.java
@@ -41,6 +41,15 @@
         }
     }
 
+    /**
+     * Returns a key that no other instance has: not the upstream after a restart, nor a later one at its address.
+     *
+     * @return identity, address and start time
+     */
+    public String instanceKey() {
+        return id + '@' + host + ':' + port + '#' + startedMillis;
+    }
+
     /**
      * Returns whether another entry refers to the same instance of the same upstream.
      *
--- a/core/src/main/java/org/citrontide/core/verdict/Reason.java
+++ b/core/src/main/java/org/citrontide/core/verdict/Reason.java
@@ -27,6 +27,8 @@
     NOT_READY(503),
     /** The platform's store is unreachable, and the call must not run without a claim. */
     STORE_UNREACHABLE(503),
+    /** The prompt has a part that crashes upstreams. */
+    PROMPT_QUARANTINED(503),
     /** The connection to the upstream could not be established. */
     UPSTREAM_UNREACHABLE(503),
     /** The deadline passed. */
--- a/core/src/test/java/org/citrontide/core/gateway/GroupOutageLoadTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/GroupOutageLoadTest.java
@@ -230,6 +230,9 @@
                     case GatewayAction.ReportGroupState n -> {
                         // Affects only the log.
                     }
+                    case GatewayAction.CheckUpstream c -> throw new AssertionError("no prompt has a shared part");
+                    case GatewayAction.PublishEvidence c -> throw new AssertionError("no upstream was checked");
+                    case GatewayAction.ReportQuarantine c -> throw new AssertionError("no part is suspected");
                     case GatewayAction.CancelAttempt c -> liveAttempts.get(g).remove(c.attempt());
                 }
             }
--- a/fakes/src/main/java/org/citrontide/fakes/platform/FakePlatformStore.java
+++ b/fakes/src/main/java/org/citrontide/fakes/platform/FakePlatformStore.java
@@ -198,6 +198,7 @@
                     Optional.of(p.path("value").asText()),
                     p.path("lease").asLong());
         }
+        t.path("remove").forEach(key -> write(key.asText(), Optional.empty(), 0));
         return FakeServer.Reply.json(
                 mapper.createObjectNode().put("revision", revision).toString());
     }
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
@@ -14,10 +14,12 @@
 import org.citrontide.core.routes.RoutingTable;
 import org.citrontide.gateway.dispatch.GatewayShell;
 import org.citrontide.gateway.maps.MapControllerShell;
+import org.citrontide.gateway.store.CrashEvidenceStore;
 import org.citrontide.gateway.store.GatewayRegistration;
 import org.citrontide.gateway.store.LeaderElection;
 import org.citrontide.gateway.store.PlatformClient;
 import org.citrontide.gateway.store.StoreMirror;
+import org.citrontide.platform.MetadataStore;
 
 /**
  * Control plane of one gateway: mirrors the store, takes part in the leader election, and changes expert maps while
@@ -37,6 +39,7 @@
     private final GatewayRegistration registration;
     private final MapControllerShell mapControllers;
     private final RetrySlackShare slackShare;
+    private final CrashEvidenceStore crashEvidence;
     private boolean isLeader;
     private boolean isStopping;
     private boolean hasResigned;
@@ -53,6 +56,9 @@
         this.shell = shell;
         PlatformClient client = new PlatformClient(loop);
         this.mirror = new StoreMirror(client, settings.storeAddress(), settings.peers(), loop, random, this);
+        this.crashEvidence = new CrashEvidenceStore(
+                client, settings.storeAddress(), loop, settings.vm(), shell::updateCrashEvidence);
+        shell.setCrashEvidence(crashEvidence);
         CandidacyDelay candidacyDelay = new CandidacyDelay(settings.linkMegabitsPerSecond(), random);
         this.leaderElection =
                 new LeaderElection(client, settings.storeAddress(), loop, candidacyDelay, settings.vm(), this);
@@ -107,6 +113,11 @@
         slackShare.setGatewayCount(count);
     }
 
+    @Override
+    public void crashEvidenceUpdated(List<MetadataStore.Item> items) {
+        crashEvidence.updateShared(items);
+    }
+
     @Override
     public void elected(long term) {
         isLeader = true;
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
@@ -18,6 +18,7 @@
 import org.citrontide.core.gateway.GatewayDispatcher;
 import org.citrontide.core.gateway.GatewayEvent;
 import org.citrontide.core.gateway.GatewayRequest;
+import org.citrontide.core.quarantine.CrashEvidence;
 import org.citrontide.core.routes.ListedUpstream;
 import org.citrontide.core.routes.Route;
 import org.citrontide.core.routes.RoutingTable;
@@ -28,11 +29,13 @@
 import org.citrontide.gateway.caller.CallerRequest;
 import org.citrontide.gateway.filter.GatewayFilter;
 import org.citrontide.gateway.filter.RequestHead;
+import org.citrontide.gateway.store.CrashEvidenceStore;
 import org.citrontide.gateway.store.PlatformClient;
 import org.citrontide.gateway.upstream.AttemptListener;
 import org.citrontide.gateway.upstream.ReportReader;
 import org.citrontide.gateway.upstream.ResponseHead;
 import org.citrontide.gateway.upstream.UpstreamAttempt;
+import org.citrontide.gateway.upstream.UpstreamChecker;
 import org.citrontide.gateway.upstream.UpstreamConnectionPool;
 import org.citrontide.platform.PlatformHeaders;
 
@@ -52,6 +55,7 @@
     private final GatewayDispatcher dispatcher;
     private final UpstreamConnectionPool connectionPool;
     private final ReportReader reports;
+    private final UpstreamChecker checker;
     private final RandomGenerator random;
     private final GatewayMetrics metrics;
     private final CallerWaitEstimator waitEstimator = new CallerWaitEstimator();
@@ -60,6 +64,7 @@
     private final Map<Long, OpenExchange> openByAttempt = new HashMap<>();
     private final Map<CallerRequest, Long> idByRequest = new HashMap<>();
     private final Map<String, Double> slownessByUpstream = new HashMap<>();
+    private Optional<CrashEvidenceStore> crashEvidence = Optional.empty();
     private RoutingTable table = RoutingTable.NONE;
     private boolean stopping;
     private boolean refusingNewRequests;
@@ -77,6 +82,7 @@
         this.dispatcher = dispatcher;
         this.connectionPool = new UpstreamConnectionPool(loop, this);
         this.reports = new ReportReader(new PlatformClient(loop));
+        this.checker = new UpstreamChecker(loop);
         this.random = random;
         this.metrics = metrics;
         loop.scheduleAtFixedRate(this::tick, TICK.toMillis(), TICK.toMillis(), TimeUnit.MILLISECONDS);
@@ -131,6 +137,24 @@
         handle(new GatewayEvent.UpstreamsUpdated(upstreams));
     }
 
+    /**
+     * Sets where crashes of upstreams are reported.
+     *
+     * @param store shares the evidence with other gateways
+     */
+    public void setCrashEvidence(CrashEvidenceStore store) {
+        crashEvidence = Optional.of(store);
+    }
+
+    /**
+     * Updates the evidence of all gateways on crashes.
+     *
+     * @param evidence all observations
+     */
+    public void updateCrashEvidence(List<CrashEvidence> evidence) {
+        handle(new GatewayEvent.CrashEvidenceUpdated(evidence));
+    }
+
     @Override
     public boolean isStopping() {
         return stopping;
@@ -249,10 +273,22 @@
                 case GatewayAction.AbortResponse b -> abortResponse(b);
                 case GatewayAction.QuerySpeeds a -> a.upstreams().forEach(this::querySpeed);
                 case GatewayAction.ReportGroupState n -> log.logGroupState(n);
+                case GatewayAction.CheckUpstream c ->
+                    checker.check(
+                            c.upstream(), refused -> handle(new GatewayEvent.UpstreamChecked(c.upstream(), refused)));
+                case GatewayAction.PublishEvidence p -> publish(p.evidence());
+                case GatewayAction.ReportQuarantine q -> log.logQuarantine(q.decision());
             }
         }
     }
 
+    private void publish(CrashEvidence evidence) {
+        if (evidence instanceof CrashEvidence.Crash crash) {
+            log.logCrash(crash);
+        }
+        crashEvidence.ifPresent(store -> store.publish(evidence));
+    }
+
     private void sendAttempt(GatewayAction.SendAttempt send) {
         OpenExchange exchange = openById.get(send.request().id());
         OptionalLong resumeAfter = send.request().route().retrySafety() == Route.RetrySafety.RESUMABLE
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/RequestLog.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/RequestLog.java
@@ -5,6 +5,8 @@
 
 import org.citrontide.core.gateway.AttemptOutcome;
 import org.citrontide.core.gateway.GatewayAction;
+import org.citrontide.core.quarantine.CrashEvidence;
+import org.citrontide.core.quarantine.PromptQuarantine;
 import org.citrontide.core.verdict.Verdict;
 import org.citrontide.gateway.caller.CallerRequest;
 import org.citrontide.gateway.upstream.UpstreamAttempt;
@@ -69,7 +71,7 @@
                                     .orElse("none"))
                     .with("outcome", outcome)
                     .with("started", exchange.responseStarted)
-                    .with("parts", parts(exchange))
+                    .with("parts", joinParts(exchange.request.sharedParts()))
                     .with("age-ms", ageMillis(exchange))
                     .write();
         }
@@ -98,7 +100,7 @@
                 .with("outcome", outcome)
                 .with("reason", reason)
                 .with("started", exchange.responseStarted)
-                .with("parts", parts(exchange))
+                .with("parts", joinParts(exchange.request.sharedParts()))
                 .with("age-ms", ageMillis(exchange));
         if (suppressed > 0) {
             line.with("lines-suppressed", suppressed);
@@ -113,6 +115,27 @@
                 .write();
     }
 
+    void logCrash(CrashEvidence.Crash crash) {
+        LOG.info("upstream-crashed")
+                .with("upstream", crash.upstream())
+                .with("prompts-lost", crash.prompts().size())
+                .with(
+                        "parts",
+                        joinParts(crash.prompts().stream()
+                                .flatMap(List::stream)
+                                .distinct()
+                                .toList()))
+                .write();
+    }
+
+    void logQuarantine(PromptQuarantine.Decision decision) {
+        LOG.info(decision.isQuarantined() ? "prompt-part-quarantined" : "prompt-part-released")
+                .with("part", decision.part())
+                .with("incidents", decision.incidents())
+                .with("upstreams", decision.upstreams())
+                .write();
+    }
+
     void logSpeedChange(String upstream, double previous, double slowness) {
         LOG.info("upstream-speed")
                 .with("upstream", upstream)
@@ -126,8 +149,7 @@
         return id == null ? "none" : id;
     }
 
-    private static String parts(OpenExchange exchange) {
-        List<String> parts = exchange.request.sharedParts();
+    private static String joinParts(List<String> parts) {
         return parts.isEmpty() ? "none" : String.join(",", parts.subList(0, Math.min(parts.size(), MAX_PARTS)));
     }
 
--- a/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
@@ -83,6 +83,13 @@
          * @param count number of registered gateways
          */
         void gatewayCountUpdated(int count);
+
+        /**
+         * Called when the gateways' evidence on crashes was read or changed.
+         *
+         * @param items all items with evidence
+         */
+        void crashEvidenceUpdated(List<Item> items);
     }
 
     private final PlatformClient client;
@@ -226,6 +233,7 @@
             }
         }
         listener.gatewayCountUpdated(countGateways());
+        listener.crashEvidenceUpdated(crashEvidence());
         listener.leaderKeyUpdated(items.stream().anyMatch(i -> i.key().equals(LeaderElection.LEADER_KEY)));
         membership.replaceAll(upstreams, System.nanoTime());
         listener.upstreamsUpdated(membership.upstreams());
@@ -235,6 +243,9 @@
         callStore(MetadataStore.watch(ALL_KEYS, after, isStoreUnavailable ? Duration.ZERO : WATCH_WAIT), body -> {
             MetadataStore.Changes changes = MetadataStore.decodeChanges(body);
             changes.changes().forEach(this::handleChange);
+            if (changes.changes().stream().anyMatch(c -> c.key().startsWith(CrashEvidenceStore.PREFIX))) {
+                listener.crashEvidenceUpdated(crashEvidence());
+            }
             membership.expire(System.nanoTime());
             if (!changes.changes().isEmpty()) {
                 listener.upstreamsUpdated(membership.upstreams());
@@ -247,7 +258,8 @@
     private void addToCopy(Item i) {
         if (i.key().equals(ConfigurationDecoder.KEY)
                 || i.key().startsWith(UpstreamDecoder.KEY_PREFIX)
-                || i.key().startsWith(GatewayRegistration.PREFIX)) {
+                || i.key().startsWith(GatewayRegistration.PREFIX)
+                || i.key().startsWith(CrashEvidenceStore.PREFIX)) {
             copy.put(i.key(), i);
         }
     }
@@ -283,6 +295,12 @@
                 .count();
     }
 
+    private List<Item> crashEvidence() {
+        return copy.values().stream()
+                .filter(i -> i.key().startsWith(CrashEvidenceStore.PREFIX))
+                .toList();
+    }
+
     private void logDraining(ListedUpstream u) {
         if (u.isDraining() && loggedOnce.add("draining " + u.id())) {
             LOG.info("upstream-draining").with("upstream", u.id()).write();
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnectionPool.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnectionPool.java
@@ -16,7 +16,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import org.citrontide.core.gateway.AttemptOutcome;
-import org.citrontide.core.routes.ListedUpstream;
 
 /**
  * A pool of connections to upstreams, which opens connections on demand, keeps them for as long as the upstream
@@ -94,7 +93,8 @@
     }
 
     private Optional<UpstreamConnection> pollIdle(UpstreamAttempt attempt) {
-        Deque<UpstreamConnection> idleConnections = idleByKey.get(poolKey(attempt.upstream()));
+        Deque<UpstreamConnection> idleConnections =
+                idleByKey.get(attempt.upstream().instanceKey());
         if (idleConnections == null) {
             return Optional.empty();
         }
@@ -112,7 +112,8 @@
     private void connect(UpstreamAttempt attempt) {
         openedCount++;
         UpstreamResponseDecoder decoder = new UpstreamResponseDecoder();
-        UpstreamConnection connection = new UpstreamConnection(this, decoder, poolKey(attempt.upstream()));
+        UpstreamConnection connection =
+                new UpstreamConnection(this, decoder, attempt.upstream().instanceKey());
         Bootstrap bootstrap = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
@@ -143,8 +144,4 @@
         attempt.setEnded();
         listener.attemptEnded(attempt, new AttemptOutcome.Unreached());
     }
-
-    private static String poolKey(ListedUpstream upstream) {
-        return upstream.id() + '@' + upstream.host() + ':' + upstream.port() + '#' + upstream.startedMillis();
-    }
 }
