Treat a stream without length and without any event as broken off

What callers saw: a stream that an upstream began without length or chunks and broke off before its first event arrived as a complete, empty 200.

Cause: the end of such a body is the end of its connection, and with nothing received there is nothing that could be incomplete.

Evidence: GatewayTest.aStreamWithoutAnyEventIsNotACompleteResponse got 200 before, gets 502 now; a stream without framing that ends within an event was resumed before and is (aStreamWithoutFraming..., green on the old code).

--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
@@ -221,15 +221,27 @@
         if (exchange == null) {
             return;
         }
-        boolean isTruncated = attempt.head().isPresent()
-                && outcome instanceof AttemptOutcome.Completed
-                && !exchange.eventMerger.isAtEventBoundary();
+        boolean isTruncated = outcome instanceof AttemptOutcome.Completed && isTruncated(exchange, attempt);
         AttemptOutcome finalOutcome = isTruncated ? new AttemptOutcome.Broken(Reason.ANSWER_BROKEN) : outcome;
         openByAttempt.remove(attempt.number());
         log.logAttemptEnd(exchange, attempt, finalOutcome);
         handle(new GatewayEvent.AttemptEnded(attempt.number(), finalOutcome));
     }
 
+    /**
+     * Returns whether a streamed response ended within an event, or without any event and any sign of its end: if it
+     * has no length, an upstream that breaks off can't be distinguished from one that has finished.
+     */
+    private static boolean isTruncated(OpenExchange exchange, UpstreamAttempt attempt) {
+        Optional<ResponseHead> head = attempt.head();
+        if (head.isEmpty()) {
+            return false;
+        }
+        boolean isEmpty = attempt.isStreamed() && !exchange.eventMerger.hasEvents();
+        return !exchange.eventMerger.isAtEventBoundary()
+                || isEmpty && !head.get().hasLength();
+    }
+
     private void tick() {
         handle(new GatewayEvent.Tick());
         metrics.recordState(openById.size(), table.version());
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/EventStreamMerger.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/EventStreamMerger.java
@@ -18,6 +18,7 @@
 
     private byte[] partialEvent = new byte[0];
     private OptionalLong lastEventId = OptionalLong.empty();
+    private boolean hasEvents;
     private boolean hasGap;
     private boolean isOversized;
 
@@ -35,6 +36,7 @@
         ByteArrayOutputStream out = new ByteArrayOutputStream(all.length);
         int start = 0;
         for (int end = findEventEnd(all, start); end > 0; end = findEventEnd(all, start)) {
+            hasEvents = true;
             if (accept(all, start, end)) {
                 out.write(all, start, end - start);
             }
@@ -60,6 +62,15 @@
         return partialEvent.length == 0;
     }
 
+    /**
+     * Returns whether a complete event has been received.
+     *
+     * @return false before the first event
+     */
+    public boolean hasEvents() {
+        return hasEvents;
+    }
+
     /**
      * Returns whether the current attempt can't continue the stream, because an event is missing or too large.
      *
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamAttempt.java
@@ -5,6 +5,7 @@
 
 import io.netty.handler.codec.http.FullHttpRequest;
 import org.citrontide.core.routes.ListedUpstream;
+import org.citrontide.platform.PlatformHeaders;
 
 /**
  * One attempt in flight: the request to the upstream, and the response received so far.
@@ -84,6 +85,17 @@
         return body.toByteArray();
     }
 
+    /**
+     * Returns whether the response is a success that is passed on while it arrives.
+     *
+     * @return false for any other response, and before the head was received
+     */
+    public boolean isStreamed() {
+        return isStreaming
+                && head.filter(h -> h.status() / 100 == 2 && h.headers().contains(PlatformHeaders.RESPONSE_STAMP))
+                        .isPresent();
+    }
+
     int bodyLength() {
         return body.size();
     }
@@ -96,10 +108,6 @@
         return attemptId;
     }
 
-    boolean isStreaming() {
-        return isStreaming;
-    }
-
     boolean isAtMostOnce() {
         return atMostOnce;
     }
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
@@ -149,9 +149,7 @@
     }
 
     private void handleData(UpstreamAttempt attempt, byte[] data) {
-        boolean isSuccess = attempt.head().orElseThrow().status() / 100 == 2
-                && attempt.head().get().headers().contains(PlatformHeaders.RESPONSE_STAMP);
-        if (attempt.isStreaming() && isSuccess) {
+        if (attempt.isStreamed()) {
             pool.listener().dataReceived(attempt, data);
             return;
         }
--- a/gateway/src/test/java/org/citrontide/gateway/GatewayTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/GatewayTest.java
@@ -181,6 +181,50 @@
                         .count());
     }
 
+    @Test
+    void aStreamWithoutFramingEndsWithItsConnectionOrIsResumedIfThatWasWithinAnEvent() throws IOException {
+        Script unframed = (r, reply) -> {
+            boolean isBroken = r.requestLine().contains("broken")
+                    && r.header("Last-Event-Id").isEmpty();
+            reply.writeHead("200 OK", "Content-Type: text/event-stream\r\n");
+            for (int i = isBroken || r.header("Last-Event-Id").isEmpty() ? 1 : 4; i <= 6; i++) {
+                if (isBroken && i == 4) {
+                    reply.write("id: 4\nda");
+                    break;
+                }
+                reply.write(EVENT.formatted(i, i));
+            }
+            throw new IOException("the end of the answer");
+        };
+        addUpstream("a", unframed);
+        addUpstream("b", unframed);
+        StringBuilder expected = new StringBuilder();
+        for (int i = 1; i <= 6; i++) {
+            expected.append(EVENT.formatted(i, i));
+        }
+        for (String target : List.of("/stream/whole", "/stream/broken")) {
+            try (RawCaller c = new RawCaller(callerPort)) {
+                c.sendRequest("POST", target, "id-1", "");
+                RawCaller.Response response = c.readResponse();
+                assertTrue(response.isComplete(), target);
+                assertEquals(expected.toString(), response.body(), target);
+            }
+        }
+    }
+
+    @Test
+    void aStreamWithoutAnyEventIsNotACompleteResponse() throws IOException {
+        Script empty = (r, reply) -> {
+            reply.writeHead("200 OK", "Content-Type: text/event-stream\r\n");
+            throw new IOException("the end of the answer");
+        };
+        addUpstream("a", empty);
+        try (RawCaller c = new RawCaller(callerPort)) {
+            c.sendRequest("POST", "/stream/", "id-1", "");
+            assertEquals(502, c.readResponse().status());
+        }
+    }
+
     @Test
     void aStreamThatCannotBeResumedEndsIncomplete() throws IOException {
         addUpstream("a", (r, reply) -> {
