Keep the rate of requests that an upstream names over all gateways

Cause: no code read the limit; an upstream was known by the gateway's own requests and the times of its answers. Class: a limit that applies to all gateways together, of which each sees its own part.

Fix: a gateway that was told of a limit sends to that upstream in its own slots only. Slots as long as one request of the limit go round among the registered gateways by the wall clock (docs/decisions/0009). If all upstreams are limited, requests wait for a slot or are refused at once. The roster of gateways keeps one whose registration lapsed for a minute; the retry slack is divided by the same count, which fell with the registrations before.

Open: calls of the map controller are not counted against the limit.

--- a/core/src/main/java/org/citrontide/core/gateway/AdmissionQueue.java
+++ b/core/src/main/java/org/citrontide/core/gateway/AdmissionQueue.java
@@ -5,11 +5,15 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.TreeSet;
 
+import org.citrontide.core.verdict.Reason;
+
 /**
- * A queue of the requests of one service that wait at this gateway: while the service's group has lost a member, and
- * after the recovery while its slots are reserved for requests that can still be on time.
+ * A queue of the requests of one service that wait at this gateway: while the service's group has lost a member, after
+ * the recovery while its slots are reserved for requests that can still be on time, and while the rate limits of all
+ * upstreams are used up.
  *
  * <p>Handles outages of a group of one or several seconds under a constant arrival rate, and the backlog of late
  * requests after the recovery. A request waits no longer than its caller is certain to wait; then it is refused, so
@@ -47,6 +51,7 @@
     private boolean hadOutage;
     private long recoveredNanos;
     private int latePending;
+    private OptionalLong blockedUntilNanos = OptionalLong.empty();
 
     boolean isDown() {
         return isDown;
@@ -72,13 +77,26 @@
         return true;
     }
 
+    /** Holds all requests until a time at which the rate limit of an upstream permits the next one. */
+    void blockUntil(long nanos) {
+        blockedUntilNanos = OptionalLong.of(nanos);
+    }
+
+    /** Returns why a request that can't wait, or has waited too long, is refused. */
+    Reason waitReason(long nowNanos) {
+        return isBlocked(nowNanos) ? Reason.OVERLOADED : Reason.NO_UPSTREAM;
+    }
+
     int size() {
         return waiting.size();
     }
 
     /** Returns whether a request may be sent immediately; while the group is down, this uses up the next probe. */
     boolean tryAdmit(GatewayRequest request, long nowNanos) {
-        return isDown ? tryProbe(nowNanos) : !isHeldBack(request, nowNanos) || latePending < MAX_LATE_PENDING;
+        if (isDown) {
+            return tryProbe(nowNanos);
+        }
+        return !isBlocked(nowNanos) && (!isHeldBack(request, nowNanos) || latePending < MAX_LATE_PENDING);
     }
 
     /** Records that an attempt of a request was sent. */
@@ -96,9 +114,10 @@
     /** Queues a request; returns false if its caller would stop waiting first, or if the queue is full. */
     boolean tryEnqueue(OpenGatewayRequest open, long nowNanos) {
         boolean isLongOutage = isDown && nowNanos - downSinceNanos > LONG_OUTAGE.toNanos();
+        long earliestNanos = isBlocked(nowNanos) ? blockedUntilNanos.getAsLong() : nowNanos;
         if (open.isResponseStarted
                 || isLongOutage
-                || nowNanos >= waitEndNanos(open.request)
+                || earliestNanos >= waitEndNanos(open.request)
                 || waiting.size() >= MAX_WAITING) {
             return false;
         }
@@ -123,6 +142,9 @@
         if (isDown) {
             return pollProbe(nowNanos);
         }
+        if (isBlocked(nowNanos)) {
+            return List.of();
+        }
         List<OpenGatewayRequest> sendable = new ArrayList<>();
         int room = MAX_LATE_PENDING - latePending;
         for (OpenGatewayRequest open : waiting) {
@@ -136,6 +158,10 @@
         return sendable;
     }
 
+    private boolean isBlocked(long nowNanos) {
+        return blockedUntilNanos.isPresent() && nowNanos < blockedUntilNanos.getAsLong();
+    }
+
     private List<OpenGatewayRequest> pollProbe(long nowNanos) {
         Optional<OpenGatewayRequest> probe =
                 waiting.stream().filter(open -> open.attemptCount == 0).findFirst();
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayAction.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayAction.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalDouble;
 
 import org.citrontide.core.quarantine.CrashEvidence;
 import org.citrontide.core.quarantine.PromptQuarantine;
@@ -77,6 +78,14 @@
      */
     record ReportGroupState(String service, boolean isDown, int waiting) implements GatewayAction {}
 
+    /**
+     * Reports that an upstream named another rate limit, or none any more.
+     *
+     * @param upstream the upstream
+     * @param perSecond requests per second that it takes from all gateways, empty without a limit
+     */
+    record ReportRateLimit(ListedUpstream upstream, OptionalDouble perSecond) implements GatewayAction {}
+
     /**
      * Checks whether an upstream crashed, by opening a connection to it. The result is an event.
      *
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.TreeSet;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -37,9 +38,7 @@
     private static final Duration MIN_REMAINING = Duration.ofMillis(20);
     // Pause for a member of a group that is down, while other groups of the service respond.
     private static final Duration OTHER_GROUP_PAUSE = Duration.ofSeconds(1);
-    private static final Duration ACTIVITY_WINDOW = Duration.ofMillis(300);
-    // A plain idempotent request is retried elsewhere after this multiple of its target latency.
-    private static final int STALL_TARGET_MULTIPLE = 3;
+    private static final double NANOS_PER_MS = 1e6;
 
     private final UpstreamRegistry registry = new UpstreamRegistry();
     private final UpstreamSelector selector;
@@ -85,6 +84,8 @@
             case GatewayEvent.UpstreamsUpdated u -> registry.replaceAll(u.upstreams(), nowNanos);
             case GatewayEvent.SpeedReported s ->
                 registry.find(s.upstream()).ifPresent(u -> handler.handleSpeedReported(u, s.slowness()));
+            case GatewayEvent.HeadReceived h -> handler.handleHeadReceived(h);
+            case GatewayEvent.SlotsUpdated u -> selector.setSlots(u.slots());
             case GatewayEvent.UpstreamChecked c -> handler.handleUpstreamChecked(c);
             case GatewayEvent.CrashEvidenceUpdated c -> handler.handleCrashEvidence(c);
             case GatewayEvent.Tick t -> handler.tick();
@@ -101,16 +102,6 @@
         return openById.size();
     }
 
-    /**
-     * Returns the upstreams of a service.
-     *
-     * @param service name of the service
-     * @return state of each listed upstream
-     */
-    public List<UpstreamState> upstreams(String service) {
-        return registry.ofService(service);
-    }
-
     private ServiceState service(String name) {
         return services.computeIfAbsent(name, s -> new ServiceState(retryBudgetFactory.get()));
     }
@@ -151,10 +142,22 @@
         /** Queues a request, or refuses it if it can't be sent before its caller stops waiting. */
         private void waitOrFail(OpenGatewayRequest open) {
             if (!queue(open).tryEnqueue(open, nowNanos)) {
-                fail(open, Reason.NO_UPSTREAM);
+                fail(open, queue(open).waitReason(nowNanos));
             }
         }
 
+        /** Queues a request that only rate limits keep from all upstreams, and fails any other. */
+        private void waitForRateLimit(OpenGatewayRequest open, Reason noUpstreamReason) {
+            OptionalLong openNanos =
+                    selector.nextOpenNanos(registry.ofService(open.request.service()), open.triedIds, nowNanos);
+            if (open.attemptCount > 0 || openNanos.isEmpty()) {
+                fail(open, noUpstreamReason);
+                return;
+            }
+            queue(open).blockUntil(openNanos.getAsLong());
+            waitOrFail(open);
+        }
+
         private void sendWaiting(AdmissionQueue queue) {
             for (OpenGatewayRequest open : queue.pollSendable(nowNanos)) {
                 if (open.attemptCount == 0 || tryRetry(open)) {
@@ -179,7 +182,7 @@
             Optional<UpstreamState> chosen =
                     selector.select(registry.ofService(request.service()), open.triedIds, nowNanos);
             if (chosen.isEmpty()) {
-                fail(open, noUpstreamReason);
+                waitForRateLimit(open, noUpstreamReason);
                 return;
             }
             UpstreamState upstream = chosen.get();
@@ -188,12 +191,23 @@
             open.triedIds.add(upstream.entry().id());
             open.attemptCount++;
             byAttempt.put(number, open);
-            upstream.recordAttemptSent();
+            upstream.recordAttemptSent(selector.slots(), nowNanos);
             queue(open).recordSent(open.attempt.get(), request, nowNanos);
             actions.add(new GatewayAction.SendAttempt(
                     request, number, upstream.entry(), remaining, request.admissionRank(nowNanos)));
         }
 
+        private void handleHeadReceived(GatewayEvent.HeadReceived head) {
+            OpenGatewayRequest open = byAttempt.get(head.attempt());
+            if (open == null) {
+                return;
+            }
+            OpenGatewayRequest.Attempt attempt = open.attempt.orElseThrow();
+            if (attempt.upstream.recordRateLimit(head.limitPerSecond(), attempt.sentNanos, nowNanos)) {
+                actions.add(new GatewayAction.ReportRateLimit(attempt.upstream.entry(), head.limitPerSecond()));
+            }
+        }
+
         private void handleResponseProgress(GatewayEvent.ResponseProgress progress) {
             OpenGatewayRequest open = byAttempt.get(progress.attempt());
             if (open == null) {
@@ -313,7 +327,7 @@
                     if (c.isSuccess()) {
                         crashGuard.recordAnswer(open.request, attempt, nowNanos, actions);
                     }
-                    attempt.upstream.recordSuccess(millisSince(attempt.sentNanos), nowNanos);
+                    attempt.upstream.recordSuccess((nowNanos - attempt.sentNanos) / NANOS_PER_MS, nowNanos);
                     recordResponse(attempt);
                 }
                 case AttemptOutcome.Failed f -> attempt.upstream.recordFailure(nowNanos);
@@ -364,7 +378,7 @@
 
         /** Queues a request until its group recovers, or retries it if another group of the service responds. */
         private void handleGroupBroken(OpenGatewayRequest open, OpenGatewayRequest.Attempt attempt) {
-            if (hasOtherActiveUpstream(open.request.service(), attempt.upstream)) {
+            if (registry.hasOtherActive(attempt.upstream, nowNanos)) {
                 attempt.upstream.pause(OTHER_GROUP_PAUSE.toNanos(), nowNanos);
                 retryOrFail(open, Reason.NO_UPSTREAM);
                 return;
@@ -375,11 +389,6 @@
             waitOrFail(open);
         }
 
-        private boolean hasOtherActiveUpstream(String service, UpstreamState except) {
-            return registry.ofService(service).stream()
-                    .anyMatch(u -> u != except && nowNanos - u.lastProgressNanos() < ACTIVITY_WINDOW.toNanos());
-        }
-
         /** Returns whether the response has started and its group is down: the caller won't wait for a recovery. */
         private boolean isStartedAndGroupDown(OpenGatewayRequest open) {
             return open.isResponseStarted && queue(open).isDown();
@@ -454,7 +463,7 @@
         }
 
         private void tick(AdmissionQueue queue) {
-            queue.pollOverdue(nowNanos).forEach(open -> fail(open, Reason.NO_UPSTREAM));
+            queue.pollOverdue(nowNanos).forEach(open -> fail(open, queue.waitReason(nowNanos)));
             sendWaiting(queue);
         }
 
@@ -469,13 +478,9 @@
                 return false;
             }
             OpenGatewayRequest.Attempt attempt = open.attempt.get();
-            Duration timeout = open.request.route().isStreaming()
-                    ? service(open).stallDetector.timeout(attempt.isStarted)
-                    : open.request.route().target().multipliedBy(STALL_TARGET_MULTIPLE);
-            if (nowNanos - Math.max(attempt.progressNanos, attempt.upstream.lastProgressNanos()) < timeout.toNanos()) {
-                return false;
-            }
-            return hasOtherActiveUpstream(open.request.service(), attempt.upstream);
+            long silentNanos = nowNanos - Math.max(attempt.progressNanos, attempt.upstream.lastProgressNanos());
+            Duration timeout = service(open).stallTimeout(open.request.route(), attempt);
+            return silentNanos >= timeout.toNanos() && registry.hasOtherActive(attempt.upstream, nowNanos);
         }
 
         private void retryElsewhere(OpenGatewayRequest open) {
@@ -491,9 +496,5 @@
             actions.add(new GatewayAction.CancelAttempt(attempt.number));
             send(open, Reason.CONNECTION_LOST);
         }
-
-        private double millisSince(long nanos) {
-            return (nowNanos - nanos) / 1e6;
-        }
     }
 }
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayEvent.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayEvent.java
@@ -1,6 +1,7 @@
 package org.citrontide.core.gateway;
 
 import java.util.List;
+import java.util.OptionalDouble;
 
 import org.citrontide.core.quarantine.CrashEvidence;
 import org.citrontide.core.routes.ListedUpstream;
@@ -30,6 +31,21 @@
      */
     record ResponseProgress(long attempt, boolean isResponseStarted) implements GatewayEvent {}
 
+    /**
+     * The head of a response arrived.
+     *
+     * @param attempt number of the attempt
+     * @param limitPerSecond requests per second that the upstream takes from all gateways, empty if it names no limit
+     */
+    record HeadReceived(long attempt, OptionalDouble limitPerSecond) implements GatewayEvent {}
+
+    /**
+     * The times at which this gateway may send to upstreams with a rate limit changed.
+     *
+     * @param slots the slots of all gateways
+     */
+    record SlotsUpdated(SendSlots slots) implements GatewayEvent {}
+
     /**
      * An attempt ended.
      *
--- a/core/src/main/java/org/citrontide/core/gateway/ServiceState.java
+++ b/core/src/main/java/org/citrontide/core/gateway/ServiceState.java
@@ -1,7 +1,14 @@
 package org.citrontide.core.gateway;
 
+import java.time.Duration;
+
+import org.citrontide.core.routes.Route;
+
 /** What a dispatcher keeps for one service. Not thread-safe. */
 final class ServiceState {
+    // A plain idempotent request is retried elsewhere after this multiple of its target latency.
+    private static final int STALL_TARGET_MULTIPLE = 3;
+
     final GatewayRetryBudget retryBudget;
     final AdmissionQueue queue = new AdmissionQueue();
     final StallDetector stallDetector = new StallDetector();
@@ -9,4 +16,11 @@
     ServiceState(GatewayRetryBudget retryBudget) {
         this.retryBudget = retryBudget;
     }
+
+    /** Returns the time without bytes after which an attempt is considered lost. */
+    Duration stallTimeout(Route route, OpenGatewayRequest.Attempt attempt) {
+        return route.isStreaming()
+                ? stallDetector.timeout(attempt.isStarted)
+                : route.target().multipliedBy(STALL_TARGET_MULTIPLE);
+    }
 }
--- a/core/src/main/java/org/citrontide/core/gateway/UpstreamRegistry.java
+++ b/core/src/main/java/org/citrontide/core/gateway/UpstreamRegistry.java
@@ -1,5 +1,6 @@
 package org.citrontide.core.gateway;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -18,6 +19,8 @@
  * thread-safe.
  */
 public final class UpstreamRegistry {
+    private static final Duration ACTIVITY_WINDOW = Duration.ofMillis(300);
+
     private final Map<String, UpstreamState> byId = new TreeMap<>();
     private final Map<String, List<UpstreamState>> byService = new HashMap<>();
 
@@ -56,6 +59,18 @@
         return byService.getOrDefault(service, List.of());
     }
 
+    /**
+     * Returns whether a service has another upstream that is responding.
+     *
+     * @param except the upstream that is not considered
+     * @param nowNanos monotonic time in ns
+     * @return true if a response of another upstream made progress recently
+     */
+    public boolean hasOtherActive(UpstreamState except, long nowNanos) {
+        return ofService(except.entry().service()).stream()
+                .anyMatch(u -> u != except && nowNanos - u.lastProgressNanos() < ACTIVITY_WINDOW.toNanos());
+    }
+
     /**
      * Finds an upstream.
      *
--- a/core/src/main/java/org/citrontide/core/gateway/UpstreamSelector.java
+++ b/core/src/main/java/org/citrontide/core/gateway/UpstreamSelector.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
@@ -19,6 +20,7 @@
 
     private final String zone;
     private final RandomGenerator random;
+    private SendSlots slots = SendSlots.UNKNOWN;
 
     /**
      * Creates a selector.
@@ -48,7 +50,7 @@
                 .min()
                 .orElse(0);
         for (UpstreamState u : upstreams) {
-            if (!u.isAccepting(nowNanos) || triedIds.contains(u.entry().id())) {
+            if (!isCandidate(u, triedIds, nowNanos) || u.nextOpenNanos(slots, nowNanos) > nowNanos) {
                 continue;
             }
             double zoneFactor = u.entry().zone().equals(zone) ? 1 : CROSS_ZONE_COST_FACTOR;
@@ -63,4 +65,31 @@
         }
         return candidates.isEmpty() ? Optional.empty() : Optional.of(candidates.get(random.nextInt(candidates.size())));
     }
+
+    /**
+     * Returns when the rate limit of an upstream next permits a request.
+     *
+     * @param upstreams upstreams of the service
+     * @param triedIds identities of the upstreams that this request was already sent to
+     * @param nowNanos monotonic time in ns
+     * @return the earliest time in ns, or empty if no upstream accepts requests
+     */
+    public OptionalLong nextOpenNanos(List<UpstreamState> upstreams, Set<String> triedIds, long nowNanos) {
+        return upstreams.stream()
+                .filter(u -> isCandidate(u, triedIds, nowNanos))
+                .mapToLong(u -> u.nextOpenNanos(slots, nowNanos))
+                .min();
+    }
+
+    void setSlots(SendSlots newSlots) {
+        slots = newSlots;
+    }
+
+    SendSlots slots() {
+        return slots;
+    }
+
+    private static boolean isCandidate(UpstreamState u, Set<String> triedIds, long nowNanos) {
+        return u.isAccepting(nowNanos) && !triedIds.contains(u.entry().id());
+    }
 }
--- a/core/src/main/java/org/citrontide/core/gateway/UpstreamState.java
+++ b/core/src/main/java/org/citrontide/core/gateway/UpstreamState.java
@@ -1,6 +1,8 @@
 package org.citrontide.core.gateway;
 
 import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalDouble;
 
 import org.citrontide.core.routes.ListedUpstream;
 
@@ -24,6 +26,8 @@
     private static final Duration MISDIRECTED_PAUSE = Duration.ofSeconds(5);
     // A member slower than this delays its group by more than the work it contributes.
     private static final double SLOW_THRESHOLD = 2;
+    // What a rate limit permits lapses unused, and only the responses of the upstream can lift the limit.
+    private static final double OPEN_LIMIT_COST_FACTOR = 0.5;
 
     private ListedUpstream entry;
     private int inFlight;
@@ -36,6 +40,7 @@
     private double latencyMs;
     private boolean hasLatency;
     private double reportedSlowness = 1;
+    private Optional<UpstreamRateLimit> rateLimit = Optional.empty();
 
     UpstreamState(ListedUpstream entry, long nowNanos) {
         this.entry = entry;
@@ -69,12 +74,38 @@
         return hasPause && nowNanos < pausedUntilNanos;
     }
 
+    /** Returns the time from which the upstream's rate limit permits a request, now if it has none. */
+    long nextOpenNanos(SendSlots slots, long nowNanos) {
+        return rateLimit.map(limit -> limit.nextOpenNanos(slots, nowNanos)).orElse(nowNanos);
+    }
+
+    /**
+     * Records the limit that a response names.
+     *
+     * @param perSecond requests per second from all gateways, empty if the response names no limit
+     * @param sentNanos monotonic time in ns at which the attempt was sent
+     * @param nowNanos monotonic time in ns
+     * @return whether the limit changed
+     */
+    boolean recordRateLimit(OptionalDouble perSecond, long sentNanos, long nowNanos) {
+        Optional<UpstreamRateLimit> previous = rateLimit;
+        if (perSecond.isPresent()) {
+            double rate = perSecond.getAsDouble();
+            rateLimit = Optional.of(previous.map(limit -> limit.renew(entry.id(), rate, nowNanos))
+                    .orElseGet(() -> new UpstreamRateLimit(entry.id(), rate, nowNanos)));
+        } else if (previous.isPresent() && previous.get().isLiftedBy(sentNanos)) {
+            rateLimit = Optional.empty();
+        }
+        return !previous.map(UpstreamRateLimit::perSecond).equals(rateLimit.map(UpstreamRateLimit::perSecond));
+    }
+
     /** Estimates the cost of one more request, in units of the mean latency of a single request on a slot. */
     double cost(double baselineLatencyMs, long nowNanos) {
         double relativeLatency = hasLatency && baselineLatencyMs > 0 ? Math.max(1, latencyMs / baselineLatencyMs) : 1;
         // Squared because a slow member also delays the other members of its group.
         double groupPenalty = reportedSlowness * reportedSlowness;
-        return (inFlight + 1.0) / entry.slots() * relativeLatency * groupPenalty / health(nowNanos);
+        double limitFactor = rateLimit.isPresent() ? OPEN_LIMIT_COST_FACTOR : 1;
+        return (inFlight + 1.0) / entry.slots() * relativeLatency * groupPenalty * limitFactor / health(nowNanos);
     }
 
     /** Records the slowness that the upstream reports, relative to a healthy one. */
@@ -104,8 +135,9 @@
         entry = newEntry;
     }
 
-    void recordAttemptSent() {
+    void recordAttemptSent(SendSlots slots, long nowNanos) {
         inFlight++;
+        rateLimit.ifPresent(limit -> limit.recordSent(slots, nowNanos));
     }
 
     void recordProgress(long nowNanos) {
--- a/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherFaultTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherFaultTest.java
@@ -228,6 +228,7 @@
                     case GatewayAction.RefuseRequest r -> checkRefusal(r);
                     case GatewayAction.QuerySpeeds a -> a.upstreams().forEach(u -> reportSpeed(u.id()));
                     case GatewayAction.ReportGroupState n -> groupStateChanges++;
+                    case GatewayAction.ReportRateLimit l -> throw new AssertionError("no upstream has named a limit");
                     case GatewayAction.CheckUpstream c -> pendingChecks.add(c.upstream());
                     case GatewayAction.PublishEvidence p -> {
                         evidence.add(p.evidence());
--- a/core/src/test/java/org/citrontide/core/gateway/GroupOutageLoadTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/GroupOutageLoadTest.java
@@ -230,6 +230,7 @@
                     case GatewayAction.ReportGroupState n -> {
                         // Affects only the log.
                     }
+                    case GatewayAction.ReportRateLimit l -> throw new AssertionError("no upstream has named a limit");
                     case GatewayAction.CheckUpstream c -> throw new AssertionError("no prompt has a shared part");
                     case GatewayAction.PublishEvidence c -> throw new AssertionError("no upstream was checked");
                     case GatewayAction.ReportQuarantine c -> throw new AssertionError("no part is suspected");
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
@@ -8,7 +8,9 @@
 
 import io.netty.channel.EventLoop;
 import org.citrontide.core.expertmap.OrderTimeouts;
+import org.citrontide.core.gateway.GatewayRoster;
 import org.citrontide.core.gateway.RetrySlackShare;
+import org.citrontide.core.gateway.SendSlots;
 import org.citrontide.core.lease.CandidacyDelay;
 import org.citrontide.core.routes.ListedUpstream;
 import org.citrontide.core.routes.RoutingTable;
@@ -31,6 +33,7 @@
     // Each step of a map change waits for a tick, which delays the faster passes under the new map.
     private static final Duration LEADER_TICK = Duration.ofMillis(20);
     private static final Duration FOLLOWER_TICK = Duration.ofMillis(250);
+    private static final Duration ROSTER_INTERVAL = Duration.ofSeconds(1);
 
     private final EventLoop loop;
     private final GatewayShell shell;
@@ -40,6 +43,9 @@
     private final MapControllerShell mapControllers;
     private final RetrySlackShare slackShare;
     private final CrashEvidenceStore crashEvidence;
+    private final GatewayRoster roster;
+    private List<String> registeredVms = List.of();
+    private long rosterUpdateNanos;
     private boolean isLeader;
     private boolean isStopping;
     private boolean hasResigned;
@@ -52,6 +58,7 @@
             GatewayShell shell,
             RetrySlackShare slackShare) {
         this.slackShare = slackShare;
+        this.roster = new GatewayRoster(settings.vm());
         this.loop = loop;
         this.shell = shell;
         PlatformClient client = new PlatformClient(loop);
@@ -109,8 +116,9 @@
     }
 
     @Override
-    public void gatewayCountUpdated(int count) {
-        slackShare.setGatewayCount(count);
+    public void gatewaysUpdated(List<String> vms) {
+        registeredVms = List.copyOf(vms);
+        updateRoster();
     }
 
     @Override
@@ -134,11 +142,24 @@
         leaderElection.checkLease();
         mapControllers.tick();
         isHolding = mapControllers.isHolding();
+        if (!registeredVms.isEmpty() && System.nanoTime() - rosterUpdateNanos > ROSTER_INTERVAL.toNanos()) {
+            updateRoster();
+        }
         resignIfPossible();
         Duration pause = isLeader || isHolding ? LEADER_TICK : FOLLOWER_TICK;
         loop.schedule(this::tick, pause.toMillis(), TimeUnit.MILLISECONDS);
     }
 
+    /** Recomputes what depends on the other gateways, also as registrations age and the wall clock is adjusted. */
+    private void updateRoster() {
+        long nowNanos = System.nanoTime();
+        rosterUpdateNanos = nowNanos;
+        roster.update(registeredVms, nowNanos);
+        slackShare.setGatewayCount(roster.count());
+        long unixEpochNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis());
+        shell.setSendSlots(new SendSlots(roster.index(), roster.count(), unixEpochNanos));
+    }
+
     private void resignIfPossible() {
         if (isStopping && !hasResigned && !mapControllers.isHolding()) {
             hasResigned = true;
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
@@ -18,6 +18,7 @@
 import org.citrontide.core.gateway.GatewayDispatcher;
 import org.citrontide.core.gateway.GatewayEvent;
 import org.citrontide.core.gateway.GatewayRequest;
+import org.citrontide.core.gateway.SendSlots;
 import org.citrontide.core.quarantine.CrashEvidence;
 import org.citrontide.core.routes.ListedUpstream;
 import org.citrontide.core.routes.Route;
@@ -137,6 +138,15 @@
         handle(new GatewayEvent.UpstreamsUpdated(upstreams));
     }
 
+    /**
+     * Sets when this gateway may send to upstreams with a rate limit.
+     *
+     * @param slots the slots of all gateways
+     */
+    public void setSendSlots(SendSlots slots) {
+        handle(new GatewayEvent.SlotsUpdated(slots));
+    }
+
     /**
      * Sets where crashes of upstreams are reported.
      *
@@ -195,6 +205,14 @@
         handle(new GatewayEvent.CallerDisconnected(id));
     }
 
+    @Override
+    public void headReceived(UpstreamAttempt attempt) {
+        ResponseHead head = attempt.head().orElseThrow();
+        if (head.isStamped() || head.rateLimit().isPresent()) {
+            handle(new GatewayEvent.HeadReceived(attempt.number(), head.rateLimit()));
+        }
+    }
+
     @Override
     public void dataReceived(UpstreamAttempt attempt, byte[] data) {
         OpenExchange exchange = findExchange(attempt);
@@ -285,6 +303,7 @@
                 case GatewayAction.AbortResponse b -> abortResponse(b);
                 case GatewayAction.QuerySpeeds a -> a.upstreams().forEach(this::querySpeed);
                 case GatewayAction.ReportGroupState n -> log.logGroupState(n);
+                case GatewayAction.ReportRateLimit l -> log.logRateLimit(l);
                 case GatewayAction.CheckUpstream c ->
                     checker.check(
                             c.upstream(), refused -> handle(new GatewayEvent.UpstreamChecked(c.upstream(), refused)));
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/RequestLog.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/RequestLog.java
@@ -136,6 +136,15 @@
                 .write();
     }
 
+    void logRateLimit(GatewayAction.ReportRateLimit change) {
+        LOG.info("upstream-limit")
+                .with("upstream", change.upstream().id())
+                .with(
+                        "requests-per-second",
+                        change.perSecond().isPresent() ? change.perSecond().getAsDouble() : "none")
+                .write();
+    }
+
     void logSpeedChange(String upstream, double previous, double slowness) {
         LOG.info("upstream-speed")
                 .with("upstream", upstream)
--- a/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
@@ -80,9 +80,9 @@
         /**
          * Called when the registrations of the gateways were read or changed.
          *
-         * @param count number of registered gateways
+         * @param vms names of the VMs whose gateways are registered
          */
-        void gatewayCountUpdated(int count);
+        void gatewaysUpdated(List<String> vms);
 
         /**
          * Called when the gateways' evidence on crashes was read or changed.
@@ -232,7 +232,7 @@
                 decode(i).ifPresent(upstreams::add);
             }
         }
-        listener.gatewayCountUpdated(countGateways());
+        listener.gatewaysUpdated(gateways());
         listener.crashEvidenceUpdated(crashEvidence());
         listener.leaderKeyUpdated(items.stream().anyMatch(i -> i.key().equals(LeaderElection.LEADER_KEY)));
         membership.replaceAll(upstreams, System.nanoTime());
@@ -270,7 +270,7 @@
             c.item().ifPresent(this::handleConfiguration);
         }
         if (c.key().startsWith(GatewayRegistration.PREFIX)) {
-            listener.gatewayCountUpdated(countGateways());
+            listener.gatewaysUpdated(gateways());
         }
         if (c.key().equals(LeaderElection.LEADER_KEY)) {
             listener.leaderKeyUpdated(c.item().isPresent());
@@ -289,10 +289,11 @@
         membership.removeEntry(id, System.nanoTime());
     }
 
-    private int countGateways() {
-        return (int) copy.keySet().stream()
+    private List<String> gateways() {
+        return copy.keySet().stream()
                 .filter(k -> k.startsWith(GatewayRegistration.PREFIX))
-                .count();
+                .map(k -> k.substring(GatewayRegistration.PREFIX.length()))
+                .toList();
     }
 
     private List<Item> crashEvidence() {
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/AttemptListener.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/AttemptListener.java
@@ -5,6 +5,13 @@
 /** Receives the progress of attempts. Called on the event loop. */
 public interface AttemptListener {
 
+    /**
+     * Handles the head of a response.
+     *
+     * @param attempt the attempt, whose head is present
+     */
+    void headReceived(UpstreamAttempt attempt);
+
     /**
      * Handles bytes of a streamed response.
      *
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/ResponseHead.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/ResponseHead.java
@@ -1,7 +1,11 @@
 package org.citrontide.gateway.upstream;
 
+import java.util.OptionalDouble;
+import java.util.regex.Pattern;
+
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import org.citrontide.platform.PlatformHeaders;
 
 /**
  * The status and header fields of an upstream's response.
@@ -11,6 +15,29 @@
  */
 public record ResponseHead(int status, HttpHeaders headers) {
 
+    private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,9}(\\.[0-9]{1,9})?");
+
+    /**
+     * Returns the rate limit that the upstream names.
+     *
+     * @return requests per second from all gateways, empty if the field is missing or malformed
+     */
+    public OptionalDouble rateLimit() {
+        String value = headers.get(PlatformHeaders.RATE_LIMIT);
+        return value != null && DECIMAL.matcher(value.trim()).matches()
+                ? OptionalDouble.of(Double.parseDouble(value.trim()))
+                : OptionalDouble.empty();
+    }
+
+    /**
+     * Returns whether the upstream produced the response, as opposed to an intermediary.
+     *
+     * @return true if the response is stamped
+     */
+    public boolean isStamped() {
+        return headers.contains(PlatformHeaders.RESPONSE_STAMP);
+    }
+
     /**
      * Returns whether the end of the body can be told from the body itself.
      *
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamAttempt.java
@@ -5,7 +5,6 @@
 
 import io.netty.handler.codec.http.FullHttpRequest;
 import org.citrontide.core.routes.ListedUpstream;
-import org.citrontide.platform.PlatformHeaders;
 
 /**
  * One attempt in flight: the request to the upstream, and the response received so far.
@@ -92,8 +91,7 @@
      */
     public boolean isStreamed() {
         return isStreaming
-                && head.filter(h -> h.status() / 100 == 2 && h.headers().contains(PlatformHeaders.RESPONSE_STAMP))
-                        .isPresent();
+                && head.filter(h -> h.status() / 100 == 2 && h.isStamped()).isPresent();
     }
 
     int bodyLength() {
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
@@ -123,6 +123,7 @@
         boolean isFramed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
         keepAlive = HttpUtil.isKeepAlive(response) && isFramed;
         updateKeepAlive(response);
+        pool.listener().headReceived(attempt);
     }
 
     private void handleContent(HttpContent content) {
