Never undo a change of map that reports show in progress

Cause: the leader took its own change, released 0.2 s before, for another's, because reports lag; it disarmed the three ranks that seemed armed and let the pass begin. It read reports that early because each of 16 reports of one round counted as a read without a new pass.

Ruled out: orders carried out late and a second controller (one leader in the trace), wrong answers to orders (all 16 armed in the trace).

Why it works: completing a change is safe at any time, undoing it is not. Only a pass that no rank can be armed for is released, after a second look. The order to disarm has no use any more and is removed.

--- a/core/src/main/java/org/citrontide/core/expertmap/GroupMapChange.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/GroupMapChange.java
@@ -22,7 +22,8 @@
  * <ul>
  *   <li>A rank is armed only after every rank of the group has accepted the map and had the time to copy it, or has
  *       reported it as prepared.
- *   <li>The held pass is released only after every rank has confirmed that it is armed for it, or if no rank is armed.
+ *   <li>The held pass is released only after every rank has confirmed that it is armed for it, or if no rank is armed
+ *       or could be. No rank is ever disarmed.
  * </ul>
  *
  * <p>Not thread-safe; it does no I/O and reads no clock.
@@ -48,8 +49,6 @@
         HOLDING,
         /** All ranks are ordered to switch maps in the held pass. */
         ARMING,
-        /** Ranks left armed by an earlier change are ordered to disarm. */
-        DISARMING,
         /** The holder is ordered to release the pass. */
         RELEASING,
         /** The map is in force from the held pass on. */
@@ -116,6 +115,9 @@
     /**
      * Resumes a change that a round of reports shows in progress, because some rank holds a pass. The change may be
      * another controller's or an earlier one of this controller, for example if a hold order was carried out late.
+     *
+     * <p>Once a rank is armed, the change only goes forward: reports lag, and ranks that seem not to be armed may be,
+     * and the controller that started the change may still release the pass.
      */
     static GroupMapChange resume(
             List<String> ranks,
@@ -126,8 +128,9 @@
             EventContext context) {
         List<String> armed = reports.armedRanks(ranks);
         Optional<Long> preparedVersion = reports.preparedOnAll(ranks);
-        long version = preparedVersion.orElseGet(
-                () -> armed.isEmpty() ? 0 : reports.of(armed.getFirst()).armed().orElseThrow());
+        long version = armed.isEmpty()
+                ? preparedVersion.orElse(0L)
+                : reports.of(armed.getFirst()).armed().orElseThrow();
         GroupMapChange c = new GroupMapChange(
                 ranks, epoch, passEstimator, roundTimeEstimator, version, Optional.empty(), Duration.ZERO);
         c.holder = reports.holdingRanks(ranks).getFirst();
@@ -136,10 +139,8 @@
                 "map-change-taken-over",
                 "version " + version + " pass " + c.holdStep + " armed " + armed.size() + " prepared on all "
                         + preparedVersion.isPresent());
-        if (preparedVersion.isPresent()) {
+        if (reports.mayBeArmed(ranks)) {
             c.startArming(context);
-        } else if (!armed.isEmpty()) {
-            c.enterState(State.DISARMING, armed, context);
         } else {
             c.enterState(State.RELEASING, List.of(c.holder), context);
         }
@@ -150,6 +151,11 @@
         return state;
     }
 
+    /** Returns whether the change needs nothing more: its map is in force, or it has ended without. */
+    boolean isOver() {
+        return state == State.IN_FORCE || state == State.ENDED;
+    }
+
     /** Returns the first pass under the new map, valid once all ranks are armed. */
     long holdStep() {
         return holdStep;
@@ -158,7 +164,7 @@
     /** Returns whether this change may be holding the group. */
     boolean isHolding() {
         return switch (state) {
-            case HOLDING, ARMING, DISARMING, RELEASING -> true;
+            case HOLDING, ARMING, RELEASING -> true;
             case PREPARING, IN_FORCE, ENDED -> false;
         };
     }
@@ -243,7 +249,6 @@
             case PREPARING -> new RankOrder.Prepare(map.orElseThrow());
             case HOLDING -> new RankOrder.Hold(holdStep);
             case ARMING -> new RankOrder.Arm(version, holdStep);
-            case DISARMING -> new RankOrder.Disarm(version);
             case RELEASING, IN_FORCE, ENDED -> new RankOrder.Go(holdStep);
         };
     }
@@ -311,7 +316,7 @@
             }
             case HOLDING -> handleHoldRefusal(context);
             case ARMING -> orders.retry(id);
-            case DISARMING, RELEASING -> completeOrder(id, context);
+            case RELEASING -> completeOrder(id, context);
             default -> throw new IllegalStateException("unknown state " + state);
         }
     }
@@ -340,7 +345,6 @@
                 context.log("map-change-armed", "version " + version + " pass " + holdStep);
                 enterState(State.RELEASING, List.of(holder), context);
             }
-            case DISARMING -> enterState(State.RELEASING, List.of(holder), context);
             case RELEASING -> state = isArmedOnAll && map.isPresent() ? State.IN_FORCE : State.ENDED;
             case IN_FORCE, ENDED -> {
                 // No orders are in flight.
--- a/core/src/main/java/org/citrontide/core/expertmap/GroupMapController.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/GroupMapController.java
@@ -77,6 +77,10 @@
     private int passWaits;
     private int failedReads;
     private long nextSpeedReadNanos;
+    private final HoldConfirmation holdConfirmation = new HoldConfirmation();
+    // Reports read from this time on show all that the orders of the last change have caused.
+    private long reportsValidNanos;
+
     private final GroupLoadSummary loadSummary = new GroupLoadSummary();
 
     /**
@@ -182,7 +186,7 @@
 
     private void startObserving(Duration after, EventContext context) {
         enterPhase(isElected ? Phase.OBSERVING : Phase.IDLE, context);
-        nextActionNanos = context.nowNanos() + after.toNanos();
+        nextActionNanos = Math.max(context.nowNanos() + after.toNanos(), reportsValidNanos);
     }
 
     private void readAllReports(EventContext context) {
@@ -200,7 +204,7 @@
             recordSpeed(read.upstream(), report);
             loadSummary.record(read.upstream(), report).ifPresent(detail -> context.log("group-load", detail));
         });
-        if (isIdle()) {
+        if (isIdle() && read.upstream().equals(ranks.getFirst())) {
             checkForNewPass(read, context);
         }
         if (phase != Phase.OBSERVING || !pendingReads.remove(read.upstream())) {
@@ -254,6 +258,10 @@
         newestSeenEpoch = 0;
         adoptGroup(completeGroup.get(), context);
         if (!reports.holdingRanks(ranks).isEmpty()) {
+            if (holdConfirmation.mustReadAgain(ranks, reports, context.nowNanos())) {
+                nextActionNanos = context.nowNanos() + GroupMapChange.REPORT_LAG.toNanos();
+                return;
+            }
             enterPhase(Phase.CHANGING, context);
             next = Optional.empty();
             change = Optional.of(
@@ -288,9 +296,7 @@
             current = Optional.empty();
             rebalancePolicy.ifPresent(RebalancePolicy::resetCounters);
         }
-        if (rebalancePolicy.isEmpty()) {
-            rebalancePolicy = Optional.of(new RebalancePolicy(profile, context.nowNanos()));
-        }
+        rebalancePolicy = rebalancePolicy.or(() -> Optional.of(new RebalancePolicy(profile, context.nowNanos())));
         rebalancePolicy.get().setRankSpeeds(speeds);
     }
 
@@ -470,29 +476,25 @@
     }
 
     private void handleChangeState(GroupMapChange c, EventContext context) {
-        switch (c.state()) {
-            case IN_FORCE -> {
-                change = Optional.empty();
-                current = next;
-                inForceStep = c.holdStep();
-                lastHolder = c.holder();
-                passWaits = 0;
-                if (isElected) {
-                    rebalancePolicy.orElseThrow().requestEvaluation();
-                    startSampling(context);
-                    sampler.scheduleAtStep(inForceStep, passEstimator, context.nowNanos());
-                } else {
-                    enterPhase(Phase.IDLE, context);
-                }
-            }
-            case ENDED -> {
-                change = Optional.empty();
-                startObserving(GroupMapChange.REPORT_LAG, context);
-            }
-            case PREPARING, HOLDING, ARMING, DISARMING, RELEASING -> {
-                // The change is still in progress.
-            }
-            default -> throw new IllegalStateException("unknown state " + c.state());
+        if (!c.isOver()) {
+            return;
         }
+        change = Optional.empty();
+        reportsValidNanos = context.nowNanos() + GroupMapChange.REPORT_LAG.toNanos();
+        if (c.state() == GroupMapChange.State.ENDED) {
+            startObserving(Duration.ZERO, context);
+            return;
+        }
+        current = next;
+        inForceStep = c.holdStep();
+        lastHolder = c.holder();
+        passWaits = 0;
+        if (!isElected) {
+            enterPhase(Phase.IDLE, context);
+            return;
+        }
+        rebalancePolicy.orElseThrow().requestEvaluation();
+        startSampling(context);
+        sampler.scheduleAtStep(inForceStep, passEstimator, context.nowNanos());
     }
 }
--- a/core/src/main/java/org/citrontide/core/expertmap/GroupReports.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/GroupReports.java
@@ -56,6 +56,11 @@
         return ranks.stream().filter(id -> of(id).armed().isPresent()).toList();
     }
 
+    /** Returns whether a rank is armed, or may be because every rank has a map prepared. */
+    boolean mayBeArmed(List<String> ranks) {
+        return !armedRanks(ranks).isEmpty() || preparedOnAll(ranks).isPresent();
+    }
+
     List<String> holdingRanks(List<String> ranks) {
         return ranks.stream().filter(id -> of(id).heldStep().isPresent()).toList();
     }
--- a/core/src/main/java/org/citrontide/core/expertmap/RankOrder.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/RankOrder.java
@@ -21,13 +21,6 @@
      */
     record Arm(long version, long step) implements RankOrder {}
 
-    /**
-     * Reverts an arm order. The map stays prepared.
-     *
-     * @param version version of the map
-     */
-    record Disarm(long version) implements RankOrder {}
-
     /**
      * Prevents the group from starting a pass.
      *
--- a/core/src/test/java/org/citrontide/core/expertmap/FakeGroup.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/FakeGroup.java
@@ -43,6 +43,8 @@
     private int changes;
     private boolean isIdle;
     private int slowRank = -1;
+    private int passTimeFactor = 1;
+    private int reportLagSpreadMs;
     private String violation = "";
 
     /** Creates a group of one set whose demand concentrates on two experts, which change every three seconds. */
@@ -108,6 +110,16 @@
         slowRank = rank;
     }
 
+    /** Lets the reports of the ranks lag differently, by up to this many ms less than the longest lag. */
+    void setReportLagSpreadMs(int ms) {
+        reportLagSpreadMs = ms;
+    }
+
+    /** Makes all passes longer by a factor, as a slow rank does. */
+    void setPassTimeFactor(int factor) {
+        passTimeFactor = factor;
+    }
+
     /** Sets whether the group is idle: without requests it starts no pass. */
     void setIdle(boolean isIdle) {
         this.isIdle = isIdle;
@@ -120,7 +132,8 @@
     }
 
     RankReport reportOf(int rank) {
-        return history.getFirst().get(rank);
+        int newer = reportLagSpreadMs * rank / size;
+        return history.get(Math.min(newer, history.size() - 1)).get(rank);
     }
 
     MapEvent.ExpertCounts countsOf(int rank) {
@@ -143,7 +156,6 @@
         return switch (order) {
             case RankOrder.Prepare p -> prepare(r, p.map(), nowMs);
             case RankOrder.Arm a -> arm(r, a);
-            case RankOrder.Disarm d -> disarm(r, d);
             case RankOrder.Hold h -> hold(r, h);
             case RankOrder.Go g -> go(r, g);
         };
@@ -169,16 +181,6 @@
         return OrderOutcome.DONE;
     }
 
-    private OrderOutcome disarm(Rank r, RankOrder.Disarm d) {
-        if (r.map.version() == d.version()) {
-            return OrderOutcome.REFUSED;
-        }
-        if (r.prepared.isPresent() && r.prepared.get().version() == d.version()) {
-            r.armedStep = OptionalLong.empty();
-        }
-        return OrderOutcome.DONE;
-    }
-
     private OrderOutcome hold(Rank r, RankOrder.Hold h) {
         boolean holdsAnother = r.heldStep.isPresent() && r.heldStep.getAsLong() != h.step();
         if (holdsAnother || h.step() <= step) {
@@ -218,7 +220,7 @@
             demand.addSelections(i, r.counts, nowMs);
         }
         boolean isCopying = ranks.stream().anyMatch(r -> r.copying.isPresent());
-        nextPassMs = nowMs + demand.passMs(ranks.getFirst().map, isCopying, nowMs);
+        nextPassMs = nowMs + passTimeFactor * demand.passMs(ranks.getFirst().map, isCopying, nowMs);
         long before = ranks.getFirst().map.version();
         if (ranks.stream().anyMatch(r -> r.map.version() != before) && violation.isEmpty()) {
             violation = "pass " + step + " at " + nowMs + " ms started on two maps: "
--- /dev/null
+++ b/core/src/test/java/org/citrontide/core/expertmap/GroupMapChangeTest.java
@@ -0,0 +1,72 @@
+package org.citrontide.core.expertmap;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Tests how a change of map is resumed from reports that lag behind the state of the ranks. */
+final class GroupMapChangeTest {
+    private static final long MS = 1_000_000;
+    private static final int EPOCH = 1;
+    private static final long HELD_STEP = 283;
+    private static final long VERSION = 23;
+    private static final List<String> RANKS = List.of("rank0", "rank1", "rank2", "rank3");
+
+    @Test
+    void aHeldPassIsArmedOnAllRanksIfReportsShowSomeArmedAndOthersNotPrepared() {
+        EventContext context = new EventContext(0);
+        resume(reports(true, true, false, false), context);
+        List<MapAction> expected = new ArrayList<>();
+        RANKS.forEach(r -> expected.add(new MapAction.SendOrder(r, EPOCH, new RankOrder.Arm(VERSION, HELD_STEP))));
+        assertEquals(expected, orders(context));
+    }
+
+    @Test
+    void aHeldPassWithoutArmedRanksIsReleased() {
+        EventContext context = new EventContext(0);
+        resume(reports(false, false, false, false), context);
+        assertEquals(List.of(new MapAction.SendOrder("rank1", EPOCH, new RankOrder.Go(HELD_STEP))), orders(context));
+    }
+
+    @Test
+    void reportsOfAHeldPassWithoutArmedRanksAreReadAgainUntilTheirLagHasPassed() {
+        HoldConfirmation confirmation = new HoldConfirmation();
+        GroupReports noneArmed = reports(false, false, false, false);
+        long lagMs = GroupMapChange.REPORT_LAG.toMillis();
+        assertTrue(confirmation.mustReadAgain(RANKS, noneArmed, 1000 * MS));
+        assertTrue(confirmation.mustReadAgain(RANKS, noneArmed, (1000 + lagMs - 1) * MS));
+        assertFalse(confirmation.mustReadAgain(RANKS, noneArmed, (1000 + lagMs) * MS));
+        assertFalse(
+                new HoldConfirmation().mustReadAgain(RANKS, reports(false, true, false, false), 1000 * MS),
+                "arming is safe at any time");
+    }
+
+    private static void resume(GroupReports reports, EventContext context) {
+        GroupMapChange.resume(RANKS, EPOCH, new PassEstimator(), new RoundTimeEstimator(), reports, context);
+    }
+
+    private static List<MapAction> orders(EventContext context) {
+        return context.actions().stream()
+                .filter(a -> a instanceof MapAction.SendOrder)
+                .toList();
+    }
+
+    private static GroupReports reports(boolean... armed) {
+        GroupReports reports = new GroupReports();
+        for (int i = 0; i < armed.length; i++) {
+            OptionalLong version = armed[i] ? OptionalLong.of(VERSION) : OptionalLong.empty();
+            OptionalLong held = i == 1 ? OptionalLong.of(HELD_STEP) : OptionalLong.empty();
+            reports.add(
+                    RANKS.get(i),
+                    new RankReport(
+                            "g", EPOCH, i, armed.length, true, HELD_STEP - 1, 22, version, version, held, 1, 0, 0));
+        }
+        return reports;
+    }
+}
--- a/core/src/test/java/org/citrontide/core/expertmap/GroupMapControllerTest.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/GroupMapControllerTest.java
@@ -20,6 +20,12 @@
     private static final int EXPERTS = 16;
     private static final EngineProfile PROFILE =
             new EngineProfile(8, 100_000, 5, 0.5, 0.05, 60_000, 5, 140, 800, 1, EXPERTS, 6, 2, 100, 100_000);
+    private static final int LARGE_GROUP_RANKS = 16;
+    private static final int LARGE_GROUP_EXPERTS = 64;
+    private static final EngineProfile LARGE_GROUP_PROFILE = new EngineProfile(
+            8, 100_000, 5, 0.5, 0.05, 60_000, 5, 140, 800, 1, LARGE_GROUP_EXPERTS, 5, 2, 100, 100_000);
+    private static final Duration TARGET_GAP = Duration.ofMillis(120);
+    private static final int REPORT_LAG_SPREAD_MS = 120;
     private static final int RECOVERY_PERIOD_MS = 8_000;
     private static final int READ_INTERVAL_MS = 500;
 
@@ -46,6 +52,32 @@
         assertTrue(changes > 300, changes + " map changes in total");
     }
 
+    @Test
+    void startsNoPassOnTwoMapsWhilePassesAreLongerThanReportsLag() {
+        int changes = 0;
+        for (long seed = 1; seed <= 120; seed++) {
+            int shiftMs = 400 + (int) (seed % 4) * 200;
+            FakeGroup group = new FakeGroup(
+                    LARGE_GROUP_RANKS, new HotExpertDemand(LARGE_GROUP_RANKS, LARGE_GROUP_EXPERTS, shiftMs));
+            group.setReportLagSpreadMs(REPORT_LAG_SPREAD_MS);
+            MapControllerSimulation sim =
+                    new MapControllerSimulation(group, LARGE_GROUP_PROFILE, seed, 0.02 * (seed % 5), false);
+            sim.setTargetGap(TARGET_GAP);
+            sim.setReportDelayMs(2 + (int) (seed % 10) * 2);
+            sim.runUntil(3_000);
+            group.setPassTimeFactor(4 + (int) (seed % 9));
+            sim.runUntil(MapControllerSimulation.FAULT_PERIOD_MS);
+            group.setPassTimeFactor(1);
+            sim.runUntil(MapControllerSimulation.FAULT_PERIOD_MS + RECOVERY_PERIOD_MS);
+            long step = group.step();
+            sim.runUntil(MapControllerSimulation.FAULT_PERIOD_MS + RECOVERY_PERIOD_MS + 1_000);
+            assertEquals("", group.violation(), "seed " + seed);
+            assertTrue(group.step() > step, "seed " + seed + ": the group is still held");
+            changes += group.changes();
+        }
+        assertTrue(changes > 1000, changes + " map changes in total");
+    }
+
     @Test
     void duplicatedOrdersHoldTheGroupOnlyBriefly() {
         for (long seed = 1; seed <= 20; seed++) {
--- a/core/src/test/java/org/citrontide/core/expertmap/HotExpertDemand.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/HotExpertDemand.java
@@ -10,10 +10,16 @@
 
     private final int ranks;
     private final int experts;
+    private final int periodMs;
 
     HotExpertDemand(int ranks, int experts) {
+        this(ranks, experts, PERIOD_MS);
+    }
+
+    HotExpertDemand(int ranks, int experts, int periodMs) {
         this.ranks = ranks;
         this.experts = experts;
+        this.periodMs = periodMs;
     }
 
     @Override
@@ -28,7 +34,7 @@
 
     @Override
     public void addSelections(int rank, long[] counts, long nowMs) {
-        int hot = (int) (nowMs / PERIOD_MS * EXPERTS_PER_SHIFT % experts);
+        int hot = (int) (nowMs / periodMs * EXPERTS_PER_SHIFT % experts);
         for (int e = 0; e < experts; e++) {
             counts[e] += e == hot || e == (hot + ranks) % experts ? HOT_SELECTIONS : COLD_SELECTIONS;
         }
--- a/core/src/test/java/org/citrontide/core/expertmap/MapControllerSimulation.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/MapControllerSimulation.java
@@ -45,6 +45,7 @@
     private boolean duplicatesOrders;
     private long linkFreeMs;
     private int searchSteps = SEARCH_STEPS;
+    private int reportDelayMs;
     private double[] lastSpeeds = new double[0];
 
     MapControllerSimulation(FakeGroup group, EngineProfile profile, long seed, double lossRate, boolean hasFaults) {
@@ -78,6 +79,11 @@
         duplicatesOrders = true;
     }
 
+    /** Delays the reports, so that counts which were read later overtake them. */
+    void setReportDelayMs(int ms) {
+        reportDelayMs = ms;
+    }
+
     /** Sets the maximum number of placement changes of a search. */
     void setSearchSteps(int steps) {
         searchSteps = steps;
@@ -243,7 +249,8 @@
     /** Schedules an event for a process, to be delivered once it runs, unless it has been killed meanwhile. */
     private void scheduleEvent(int process, int incarnation, MapEvent event) {
         ControllerProcess p = processes.get(process);
-        long atMs = Math.max(nowMs + 1, p.suspendedUntilMs);
+        long delayMs = event instanceof MapEvent.ReportRead ? 1 + reportDelayMs : 1;
+        long atMs = Math.max(nowMs + delayMs, p.suspendedUntilMs);
         tasks.add(new ScheduledTask(atMs, nextSequence++, () -> {
             if (nowMs < p.suspendedUntilMs) {
                 scheduleEvent(process, incarnation, event);
