Let a briefly paused upstream end the wait for a rate limit, and don't delay what may not run again

If all upstreams but limited ones were paused for a full queue, requests waited for the next slot of a limit although the pause ends in 60 ms. A request that may run once only waited up to 0.4 s for the check of its upstream before its 502, which changes nothing for it.

Evidence: anUpstreamThatIsPausedBrieflyEndsTheWaitForALimit and aRequestThatMayNotRunAgainIsAnsweredWithoutWaitingForTheCheck.

--- a/core/src/main/java/org/citrontide/core/gateway/CrashGuard.java
+++ b/core/src/main/java/org/citrontide/core/gateway/CrashGuard.java
@@ -73,7 +73,7 @@
         if (detector.recordLoss(upstream, parts, nowNanos)) {
             actions.add(new GatewayAction.CheckUpstream(upstream));
         }
-        if (!quarantine.isUnproven(parts)) {
+        if (!open.request.route().isRetryable() || !quarantine.isUnproven(parts)) {
             return false;
         }
         open.awaitedCheck = Optional.of(upstream.instanceKey());
--- a/core/src/main/java/org/citrontide/core/gateway/UpstreamSelector.java
+++ b/core/src/main/java/org/citrontide/core/gateway/UpstreamSelector.java
@@ -50,7 +50,8 @@
                 .min()
                 .orElse(0);
         for (UpstreamState u : upstreams) {
-            if (!isCandidate(u, triedIds, nowNanos) || u.nextOpenNanos(slots, nowNanos) > nowNanos) {
+            boolean isOpen = u.isAccepting(nowNanos) && !u.isRateLimited(slots, nowNanos);
+            if (!isOpen || triedIds.contains(u.entry().id())) {
                 continue;
             }
             double zoneFactor = u.entry().zone().equals(zone) ? 1 : CROSS_ZONE_COST_FACTOR;
@@ -67,18 +68,22 @@
     }
 
     /**
-     * Returns when the rate limit of an upstream next permits a request.
+     * Returns when an upstream accepts the next request, if rate limits are the reason why none does now.
      *
      * @param upstreams upstreams of the service
      * @param triedIds identities of the upstreams that this request was already sent to
      * @param nowNanos monotonic time in ns
-     * @return the earliest time in ns, or empty if no upstream accepts requests
+     * @return the earliest time in ns, or empty if no upstream is kept from requests by its rate limit alone
      */
     public OptionalLong nextOpenNanos(List<UpstreamState> upstreams, Set<String> triedIds, long nowNanos) {
-        return upstreams.stream()
-                .filter(u -> isCandidate(u, triedIds, nowNanos))
-                .mapToLong(u -> u.nextOpenNanos(slots, nowNanos))
-                .min();
+        List<UpstreamState> untried = upstreams.stream()
+                .filter(u ->
+                        !u.entry().isDraining() && !triedIds.contains(u.entry().id()))
+                .toList();
+        if (untried.stream().noneMatch(u -> u.isRateLimited(slots, nowNanos))) {
+            return OptionalLong.empty();
+        }
+        return untried.stream().mapToLong(u -> u.nextOpenNanos(slots, nowNanos)).min();
     }
 
     void setSlots(SendSlots newSlots) {
@@ -88,8 +93,4 @@
     SendSlots slots() {
         return slots;
     }
-
-    private static boolean isCandidate(UpstreamState u, Set<String> triedIds, long nowNanos) {
-        return u.isAccepting(nowNanos) && !triedIds.contains(u.entry().id());
-    }
 }
--- a/core/src/main/java/org/citrontide/core/gateway/UpstreamState.java
+++ b/core/src/main/java/org/citrontide/core/gateway/UpstreamState.java
@@ -74,9 +74,15 @@
         return hasPause && nowNanos < pausedUntilNanos;
     }
 
-    /** Returns the time from which the upstream's rate limit permits a request, now if it has none. */
+    /** Returns whether only the upstream's rate limit keeps a request from it. */
+    boolean isRateLimited(SendSlots slots, long nowNanos) {
+        return isAccepting(nowNanos) && limitOpenNanos(slots, nowNanos) > nowNanos;
+    }
+
+    /** Returns the time from which the upstream accepts a request, as far as it is known. */
     long nextOpenNanos(SendSlots slots, long nowNanos) {
-        return rateLimit.map(limit -> limit.nextOpenNanos(slots, nowNanos)).orElse(nowNanos);
+        long pauseEndNanos = isPaused(nowNanos) ? pausedUntilNanos : nowNanos;
+        return Math.max(pauseEndNanos, limitOpenNanos(slots, nowNanos));
     }
 
     /**
@@ -180,6 +186,10 @@
         pausedUntilNanos = nowNanos + nanos;
     }
 
+    private long limitOpenNanos(SendSlots slots, long nowNanos) {
+        return rateLimit.map(limit -> limit.nextOpenNanos(slots, nowNanos)).orElse(nowNanos);
+    }
+
     private void recordHealth(double value, long nowNanos) {
         double current = health(nowNanos);
         health = current + SAMPLE_WEIGHT * (value - current);
--- a/core/src/test/java/org/citrontide/core/gateway/CrashGuardTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/CrashGuardTest.java
@@ -59,6 +59,14 @@
         assertNotEquals(first.upstream().id(), second.upstream().id());
     }
 
+    @Test
+    void aRequestThatMayNotRunAgainIsAnsweredWithoutWaitingForTheCheck() {
+        GatewayAction.SendAttempt first = send(arrive(Route.RetrySafety.AT_MOST_ONCE, "a1", "bad"));
+        List<GatewayAction> out = end(first, BROKEN);
+        assertEquals(new GatewayAction.CheckUpstream(first.upstream()), out.getFirst());
+        assertInstanceOf(GatewayAction.RefuseRequest.class, out.getLast());
+    }
+
     @Test
     void aRequestWhosePartsWereAnsweredBeforeIsRetriedAtOnce() {
         answer(send(arrive("a1")));
@@ -136,12 +144,16 @@
     }
 
     private List<GatewayAction> arrive(String... parts) {
+        return arrive(Route.RetrySafety.RESUMABLE, parts);
+    }
+
+    private List<GatewayAction> arrive(Route.RetrySafety retrySafety, String... parts) {
         Route route = new Route(
                 "r",
                 "h",
                 "/",
                 List.of(new Route.Split("s", 1)),
-                Route.RetrySafety.RESUMABLE,
+                retrySafety,
                 true,
                 Duration.ofSeconds(8),
                 Duration.ofMillis(400),
--- a/core/src/test/java/org/citrontide/core/gateway/UpstreamRateLimitTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/UpstreamRateLimitTest.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.SplittableRandom;
 
@@ -75,6 +76,21 @@
         send(arrive());
     }
 
+    @Test
+    void anUpstreamThatIsPausedBrieflyEndsTheWaitForALimit() {
+        nameLimit(send(arrive()));
+        send(arrive());
+        ListedUpstream other = new ListedUpstream("b", "s", "10.0.0.2", 80, "z1", 4, false, 0);
+        handle(new GatewayEvent.UpstreamsUpdated(List.of(UPSTREAM, other)));
+        GatewayAction.SendAttempt rejected = send(arrive());
+        assertEquals("b", rejected.upstream().id());
+        handle(new GatewayEvent.AttemptEnded(
+                rejected.attempt(), new AttemptOutcome.Rejected(AttemptOutcome.Rejected.Cause.FULL, Optional.empty())));
+        assertEquals(List.of(), arrive(), "one upstream is limited, the other one is full");
+        nowMs += 100;
+        assertEquals("b", send(handle(new GatewayEvent.Tick())).upstream().id());
+    }
+
     @Test
     void aRestartedUpstreamHasNoLimit() {
         nameLimit(send(arrive()));
--- a/dist/src/test/java/org/citrontide/dist/PlatformNamesTest.java
+++ b/dist/src/test/java/org/citrontide/dist/PlatformNamesTest.java
@@ -19,7 +19,8 @@
             Pattern.compile("kv-(key|range|watch|txn|lease|keep)|/-/|Citrontide-(Attempt-Id"
                     + "|Deadline-Ms|Response-Stamp|Not-Executed|Expect-|Tenant|Request-Priority|Token-Count"
                     + "|Prompt-Prefix"
-                    + "|Length-Hint|Instance-Id|Model|Weight)|At-Server|api_keys|heartbeat_ms|traffic_split|can_resume"
+                    + "|Length-Hint|Instance-Id|Model|Weight)|At-Server|Server-Limit"
+                    + "|api_keys|heartbeat_ms|traffic_split|can_resume"
                     + "|target_latency_ms|cold_remaining_ms|kv_capacity_tokens|fencing_token|op/config|\"servers/");
     private static final List<String> CHECKED_MODULES =
             List.of("core", "wire", "runtime", "store", "gateway", "entry", "sidecar", "cli");
