Don't quarantine a common beginning of prompts for the crashes of a later part

Cause: a part was left alone only if another one was suspected in all of its crashes and in more, or always came with it and was requested less.

Ruled out: the time that confirms an answer (in a group all members begin in the same pass); request counts as a tie-break (a crashing part at 15/s is more frequent than any subject).

Fix: suspects are taken by suspicion: never answered first, then more incidents, then further back in the prompt. Crashes that one explains no longer count against the others.

Evidence: on the old code 2 of 16 cases of CrashingPromptLoadTest are red (share of the sound requests on the common subject answered: 0.0, 0.5 wanted) and 3 of 11 of PromptQuarantineTest; green now.

--- a/core/src/main/java/org/citrontide/core/gateway/CrashGuard.java
+++ b/core/src/main/java/org/citrontide/core/gateway/CrashGuard.java
@@ -28,10 +28,6 @@
     private final PromptQuarantine quarantine = new PromptQuarantine();
     private long reportedNanos;
 
-    void recordRequest(GatewayRequest request) {
-        quarantine.recordRequest(request.sharedParts());
-    }
-
     /** Returns the refusal of a request whose prompt has a quarantined part. */
     Optional<Verdict.NotRun> findRefusal(GatewayRequest request, long nowNanos) {
         return quarantine
@@ -88,7 +84,7 @@
     }
 
     void replaceEvidence(GatewayEvent.CrashEvidenceUpdated evidence, long nowNanos, List<GatewayAction> actions) {
-        quarantine.replaceEvidence(evidence.evidence());
+        quarantine.replaceEvidence(evidence.evidence(), nowNanos);
         reportDecisions(nowNanos, actions);
     }
 
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
@@ -125,7 +125,6 @@
 
         private void handleRequestArrived(GatewayRequest request) {
             service(request.service()).retryBudget.recordRequest(nowNanos);
-            crashGuard.recordRequest(request);
             OpenGatewayRequest open = new OpenGatewayRequest(request);
             openById.put(request.id(), open);
             byDeadline.add(request);
