Let peers write the crash evidence of a gateway that the store turns away

Cause: a gateway that the store turns away reads from its peers, but could not tell them what it saw. Each such gateway had to see two incidents of its own, while the others counted without it.

Over sockets, CrashingPromptTest.crashesSeenByAGatewayThatThe StoreDoesNotServeAreKnownToOthers: the other gateway sent the part on (502) on the old code, refuses it now (503).

Fix: after 0.7 s without a confirmed write a gateway sends its observations to its peers, which write them under the same keys, so that a write twice changes nothing. Evidence of a peer is not sent on. The write itself is still repeated.

Open: while no gateway reaches the store, evidence gets as far as the peers.

--- a/core/src/test/java/org/citrontide/core/gateway/CrashingPromptLoadTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/CrashingPromptLoadTest.java
@@ -23,25 +23,29 @@
 
     @ParameterizedTest
     @CsvSource({
-        // gateways, groups, one subject, from ms, requests per s
-        "8, 1, false, 8000, 1.5",
-        "8, 1, false, 100, 1.5",
-        "8, 1, true, 8000, 1.5",
-        "8, 1, true, 100, 1.5",
-        "8, 0, false, 8000, 1.5",
-        "8, 0, true, 100, 5",
-        "8, 1, false, 8000, 10",
-        "8, 2, true, 8000, 5",
-        "8, 2, true, 100, 15",
-        "39, 1, false, 100, 3",
-        "39, 1, true, 8000, 15",
-        "39, 0, false, 8000, 10"
+        // gateways, turned away by the store, groups, one subject, from ms, requests per s
+        "8, 0, 1, false, 8000, 1.5",
+        "8, 0, 1, false, 100, 1.5",
+        "8, 0, 1, true, 8000, 1.5",
+        "8, 0, 1, true, 100, 1.5",
+        "8, 0, 0, false, 8000, 1.5",
+        "8, 0, 0, true, 100, 5",
+        "8, 0, 1, false, 8000, 10",
+        "8, 0, 2, true, 8000, 5",
+        "8, 0, 2, true, 100, 15",
+        "39, 0, 1, false, 100, 3",
+        "39, 0, 1, true, 8000, 15",
+        "39, 0, 0, false, 8000, 10",
+        "8, 3, 1, true, 8000, 5",
+        "39, 14, 1, true, 100, 1.5",
+        "39, 14, 1, true, 8000, 5"
     })
     void aPartThatCrashesUpstreamsIsKeptFromThem(
-            int gateways, int groups, boolean hasOneSubject, int fromMs, double perSecond) {
+            int gateways, int turnedAway, int groups, boolean hasOneSubject, int fromMs, double perSecond) {
         for (int seed = 1; seed <= SEEDS; seed++) {
             CrashingPromptSimulation s = new CrashingPromptSimulation(
-                    new Plan(gateways, groups, true, hasOneSubject, fromMs, 50_000, perSecond / 1000, 0), seed);
+                    new Plan(gateways, groups, true, turnedAway, hasOneSubject, fromMs, 50_000, perSecond / 1000, 0),
+                    seed);
             s.simulate(END_MS);
             assertTrue(
                     s.lateArrivals(KNOWN_AFTER_MS) <= MAX_LATE_ARRIVALS,
@@ -63,7 +67,7 @@
     void soundPromptsAreNotRefusedWhenUpstreamsCrashByChance(int gateways, int groups, int intervalMs) {
         for (int seed = 1; seed <= SEEDS; seed++) {
             CrashingPromptSimulation s =
-                    new CrashingPromptSimulation(new Plan(gateways, groups, true, false, 0, 0, 0, intervalMs), seed);
+                    new CrashingPromptSimulation(new Plan(gateways, groups, true, 0, false, 0, 0, 0, intervalMs), seed);
             s.simulate(END_MS);
             assertTrue(
                     s.soundQuarantinedShare() <= MAX_SOUND_REFUSED,
@@ -77,7 +81,7 @@
         for (int seed = 1; seed <= SEEDS; seed++) {
             int gateways = 8;
             CrashingPromptSimulation s =
-                    new CrashingPromptSimulation(new Plan(gateways, 0, false, false, 8_000, 50_000, 0.005, 0), seed);
+                    new CrashingPromptSimulation(new Plan(gateways, 0, false, 0, false, 8_000, 50_000, 0.005, 0), seed);
             s.simulate(END_MS);
             // Each gateway needs two incidents, and may have another request in flight in each of them.
             assertTrue(s.crashMs.size() <= 4 * gateways, s.crashMs.size() + " crashes");
--- a/core/src/test/java/org/citrontide/core/gateway/CrashingPromptSimulation.java
+++ b/core/src/test/java/org/citrontide/core/gateway/CrashingPromptSimulation.java
@@ -38,6 +38,7 @@
     private static final int CALLER_PATIENCE_MS = 2_000;
     private static final int ROUND_TRIP_MS = 2;
     private static final int MAX_STORE_DELAY_MS = 900;
+    private static final int PEER_DELAY_MS = 800;
 
     /**
      * What a simulation plays.
@@ -45,6 +46,7 @@
      * @param gateways number of gateways
      * @param groups number of groups that the upstreams form, 0 if each works on its own
      * @param isStoreReachable whether gateways receive each other's reports
+     * @param turnedAway number of gateways whose reports take the way over a peer
      * @param hasOneSubject whether all crashing prompts share their first part
      * @param crashingFromMs time of the first crashing prompt
      * @param crashingUntilMs time of the last one
@@ -55,6 +57,7 @@
             int gateways,
             int groups,
             boolean isStoreReachable,
+            int turnedAway,
             boolean hasOneSubject,
             int crashingFromMs,
             int crashingUntilMs,
@@ -275,9 +278,10 @@
 
     private void publish(Gateway from, CrashEvidence observation) {
         published++;
+        int firstDelayMs = gateways.indexOf(from) < plan.turnedAway() ? PEER_DELAY_MS : 0;
         for (Gateway g : gateways) {
             if (g == from || plan.isStoreReachable()) {
-                schedule(g == from ? 0 : random.nextInt(MAX_STORE_DELAY_MS), () -> {
+                schedule(g == from ? 0 : firstDelayMs + random.nextInt(MAX_STORE_DELAY_MS), () -> {
                     g.evidence.add(observation);
                     handle(g, new GatewayEvent.CrashEvidenceUpdated(g.evidence));
                 });
--- a/gateway/src/main/java/org/citrontide/gateway/admin/Page.java
+++ b/gateway/src/main/java/org/citrontide/gateway/admin/Page.java
@@ -11,6 +11,7 @@
  */
 public record Page(int status, String contentType, byte[] body) {
     private static final int OK = 200;
+    private static final int BAD_REQUEST = 400;
     private static final int NOT_FOUND = 404;
     private static final int UNAVAILABLE = 503;
     private static final String TEXT = "text/plain; charset=utf-8";
@@ -35,6 +36,16 @@
         return new Page(OK, "application/json", body);
     }
 
+    /**
+     * Creates the page for a document that can't be used.
+     *
+     * @param text the reason, as plain text
+     * @return the page with status 400
+     */
+    public static Page badRequest(String text) {
+        return new Page(BAD_REQUEST, TEXT, text.getBytes(StandardCharsets.UTF_8));
+    }
+
     /**
      * Creates the page for an unknown path.
      *
--- a/gateway/src/main/java/org/citrontide/gateway/admin/PageServer.java
+++ b/gateway/src/main/java/org/citrontide/gateway/admin/PageServer.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -16,6 +17,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
@@ -29,7 +31,8 @@
  * <p>Not thread-safe: confined to the event loop once it listens.
  */
 public final class PageServer {
-    private static final int MAX_REQUEST_BYTES = 4096;
+    // The largest body is that of a peer's evidence, a few kilobytes.
+    private static final int MAX_REQUEST_BYTES = 64 * 1024;
     private static final int IDLE_SECONDS = 60;
 
     private final EventLoopGroup loop;
@@ -46,6 +49,17 @@
          * @throws IOException if the content of the page can't be created
          */
         Page page(String path) throws IOException;
+
+        /**
+         * Takes a document that a client sends.
+         *
+         * @param path path of the request, without the query
+         * @param body the document
+         * @return the response, with status 404 if the path takes no documents
+         */
+        default Page submit(String path, byte[] body) {
+            return Page.notFound();
+        }
     }
 
     /**
@@ -93,7 +107,10 @@
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest r) throws IOException {
             int query = r.uri().indexOf('?');
-            Page page = provider.page(query < 0 ? r.uri() : r.uri().substring(0, query));
+            String path = query < 0 ? r.uri() : r.uri().substring(0, query);
+            Page page = r.method().equals(HttpMethod.POST)
+                    ? provider.submit(path, ByteBufUtil.getBytes(r.content()))
+                    : provider.page(path);
             DefaultFullHttpResponse response = new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1,
                     HttpResponseStatus.valueOf(page.status()),
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
@@ -21,6 +21,7 @@
 import org.citrontide.gateway.store.LeaderElection;
 import org.citrontide.gateway.store.PlatformClient;
 import org.citrontide.gateway.store.StoreMirror;
+import org.citrontide.platform.DecodeException;
 import org.citrontide.platform.MetadataStore;
 
 /**
@@ -64,7 +65,7 @@
         PlatformClient client = new PlatformClient(loop);
         this.mirror = new StoreMirror(client, settings.storeAddress(), settings.peers(), loop, random, this);
         this.crashEvidence = new CrashEvidenceStore(
-                client, settings.storeAddress(), loop, settings.vm(), shell::updateCrashEvidence);
+                client, settings.storeAddress(), settings.peers(), loop, settings.vm(), shell::updateCrashEvidence);
         shell.setCrashEvidence(crashEvidence);
         CandidacyDelay candidacyDelay = new CandidacyDelay(settings.linkMegabitsPerSecond(), random);
         this.leaderElection =
@@ -90,6 +91,10 @@
         return mirror.page();
     }
 
+    void receiveCrashEvidence(byte[] page) throws DecodeException {
+        crashEvidence.receive(page);
+    }
+
     boolean isLoaded() {
         return mirror.isLoaded();
     }
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
@@ -64,7 +64,7 @@
     @Singleton
     @Named("peers")
     PageServer peerServer(EventLoopGroup eventLoops, ControlPlane controlPlane) {
-        return new PageServer(eventLoops, new PeerPages(controlPlane::storePage));
+        return new PageServer(eventLoops, new PeerPages(controlPlane::storePage, controlPlane::receiveCrashEvidence));
     }
 
     @Provides
--- a/gateway/src/test/java/org/citrontide/gateway/CrashingPromptTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/CrashingPromptTest.java
@@ -1,12 +1,15 @@
 package org.citrontide.gateway;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.citrontide.fakes.net.TestPorts;
 import org.citrontide.fakes.platform.FakeHttpUpstream;
+import org.citrontide.fakes.platform.FakePlatformStore;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -30,8 +33,14 @@
     private final AtomicInteger crashes = new AtomicInteger();
     private final AtomicInteger crashingArrivals = new AtomicInteger();
     private final AtomicInteger nextUpstream = new AtomicInteger();
+    private final List<FakePlatformStore> stores = new ArrayList<>();
     private int nextRequest;
 
+    @BeforeEach
+    void addStore() {
+        stores.add(store);
+    }
+
     @Test
     void requestsWithAPartThatCrashesUpstreamsStopReachingThem() throws IOException {
         store.put("op/config", configuration(7));
@@ -62,10 +71,46 @@
         }
     }
 
+    @Test
+    void crashesSeenByAGatewayThatTheStoreDoesNotServeAreKnownToOthers() throws IOException {
+        // Represents the same store, which still serves the other gateway, and is further on.
+        try (FakePlatformStore otherStore = new FakePlatformStore()) {
+            for (int i = 0; i < 100; i++) {
+                otherStore.put("unrelated", "");
+            }
+            stores.add(otherStore);
+            stores.forEach(s -> s.put("op/config", configuration(7)));
+            for (int i = 0; i < UPSTREAMS; i++) {
+                startUpstream();
+            }
+            createGateway(
+                            "vm2",
+                            secondCallerPort,
+                            TestPorts.allocate(),
+                            otherStore,
+                            Optional.of(localAddress(peerPort)),
+                            List.of())
+                    .start();
+            await("both gateways serve", () -> sendSound(callerPort) == 200 && sendSound(secondCallerPort) == 200);
+            store.setMode(FakePlatformStore.Mode.HANGING);
+
+            for (int i = 0; i < CRASHES_UNTIL_KNOWN && crashes.get() < 2; i++) {
+                send(callerPort, CRASHING_PART + ":10,");
+                pause(2 * PAUSE_MS);
+            }
+            pause(KNOWN_AFTER_MS);
+            assertEquals(503, send(secondCallerPort, CRASHING_PART + ":10,"));
+            assertEquals(2, crashes.get());
+            assertEquals(200, sendSound(secondCallerPort));
+        }
+    }
+
     private void startUpstream() throws IOException {
         FakeHttpUpstream u = new FakeHttpUpstream("u" + nextUpstream.incrementAndGet(), this::answer);
         upstreams.add(u);
-        store.put("servers/" + u.id(), u.entry("svc", "ready"));
+        for (FakePlatformStore s : stores) {
+            s.put("servers/" + u.id(), u.entry("svc", "ready"));
+        }
     }
 
     private void answer(FakeHttpUpstream.ReceivedRequest request, FakeHttpUpstream.Reply reply) throws IOException {
@@ -86,7 +131,7 @@
         upstreams.remove(crashed);
         crashes.incrementAndGet();
         startUpstream();
-        store.remove("servers/" + id);
+        stores.forEach(s -> s.remove("servers/" + id));
     }
 
     private int sendSound(int port) {
