Keep a rate limit that is named with many decimals or can't be read

So was any malformed value.

Evidence: ResponseHeadTest.readsADecimalRateLimit was red for that value (empty) and passes now. A malformed value changes nothing any more and is logged.

--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
@@ -208,6 +208,10 @@
     @Override
     public void headReceived(UpstreamAttempt attempt) {
         ResponseHead head = attempt.head().orElseThrow();
+        if (head.hasMalformedRateLimit()) {
+            log.logMalformedRateLimit(attempt.upstream(), head.headers().get(PlatformHeaders.RATE_LIMIT));
+            return;
+        }
         if (head.isStamped() || head.rateLimit().isPresent()) {
             handle(new GatewayEvent.HeadReceived(attempt.number(), head.rateLimit()));
         }
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/RequestLog.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/RequestLog.java
@@ -7,6 +7,7 @@
 import org.citrontide.core.gateway.GatewayAction;
 import org.citrontide.core.quarantine.CrashEvidence;
 import org.citrontide.core.quarantine.PromptQuarantine;
+import org.citrontide.core.routes.ListedUpstream;
 import org.citrontide.core.verdict.Verdict;
 import org.citrontide.gateway.caller.CallerRequest;
 import org.citrontide.gateway.upstream.UpstreamAttempt;
@@ -145,6 +146,13 @@
                 .write();
     }
 
+    void logMalformedRateLimit(ListedUpstream upstream, String value) {
+        LOG.warn("upstream-limit-unusable")
+                .with("upstream", upstream.id())
+                .with("value", value)
+                .write();
+    }
+
     void logSpeedChange(String upstream, double previous, double slowness) {
         LOG.info("upstream-speed")
                 .with("upstream", upstream)
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/ResponseHead.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/ResponseHead.java
@@ -15,7 +15,7 @@
  */
 public record ResponseHead(int status, HttpHeaders headers) {
 
-    private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,9}(\\.[0-9]{1,9})?");
+    private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,9}(\\.[0-9]+)?");
 
     /**
      * Returns the rate limit that the upstream names.
@@ -29,6 +29,15 @@
                 : OptionalDouble.empty();
     }
 
+    /**
+     * Returns whether the response names a rate limit that can't be read.
+     *
+     * @return true if the field is malformed, false if it is missing
+     */
+    public boolean hasMalformedRateLimit() {
+        return headers.contains(PlatformHeaders.RATE_LIMIT) && rateLimit().isEmpty();
+    }
+
     /**
      * Returns whether the upstream produced the response, as opposed to an intermediary.
      *
