--- a/core/src/main/java/org/citrontide/core/quarantine/Suspect.java
+++ b/core/src/main/java/org/citrontide/core/quarantine/Suspect.java
@@ -46,12 +46,12 @@
                 suspects.stream().filter(s -> s.excessIncidents() >= 0).toList();
         while (!open.isEmpty()) {
             Suspect first = open.stream().max(BY_SUSPICION).orElseThrow();
-            List<Suspect> equals = open.stream()
+            List<Suspect> alike = open.stream()
                     .filter(s -> BY_SUSPICION.compare(s, first) == 0)
                     .toList();
-            equals.forEach(s -> culprits.add(s.part));
+            alike.forEach(s -> culprits.add(s.part));
             Set<String> explained =
-                    equals.stream().flatMap(s -> s.crashes.keySet().stream()).collect(Collectors.toSet());
+                    alike.stream().flatMap(s -> s.crashes.keySet().stream()).collect(Collectors.toSet());
             open = open.stream()
                     .map(s -> s.without(explained))
                     .filter(s -> s.excessIncidents() >= 0)
