Don't keep a removed upstream after the store turned only this gateway away

Cause: a gateway that the store had turned away took the removal for one of the entries that lapse in an outage, and kept it for 2.2 s; the end of that time was passed on with the next change of the store only.

Ruled out: a lost watch (all gateways log the removal at 26.41 s), a blocked event loop (it serves requests meanwhile).

Fix: entries are kept only if neither the gateway nor a peer was served by the store for 2 s; the end of the grace period is passed on at once.

--- a/core/src/main/java/org/citrontide/core/gateway/MembershipView.java
+++ b/core/src/main/java/org/citrontide/core/gateway/MembershipView.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.citrontide.core.routes.ListedUpstream;
@@ -13,36 +14,39 @@
 /**
  * One gateway's view of the available upstreams, built from the store's entries and their removals.
  *
- * <p>Invariants: an entry that is removed while the store is available is dropped immediately; one that is missing
- * after an outage of the store is kept for a grace period, because entries expire while upstreams can't renew them and
- * each upstream needs time to write its entry again. Not thread-safe.
+ * <p>Invariants: an entry that is removed while the store serves this gateway or a peer is dropped immediately; one
+ * that is missing after an outage of the store is kept for a grace period, because entries expire while upstreams can't
+ * renew them and each upstream needs time to write its entry again. Not thread-safe.
  */
 public final class MembershipView {
     // After an outage of the store, live upstreams write their entries again within this time.
     private static final Duration REREGISTRATION_GRACE = Duration.ofMillis(2200);
+    // Entries outlast an interruption of two heartbeats of their upstreams, about 1.2 s each.
+    private static final Duration MIN_OUTAGE = Duration.ofSeconds(2);
 
     private final Map<String, ListedUpstream> current = new HashMap<>();
     private final Map<String, ListedUpstream> expired = new HashMap<>();
-    private boolean isStoreUnavailable;
-    private long availableSinceNanos;
-    private boolean hadOutage;
+    private boolean hasFailed;
+    private OptionalLong servedNanos = OptionalLong.empty();
+    private OptionalLong graceEndNanos = OptionalLong.empty();
 
-    /** Records that the store does not respond. */
-    public void markStoreUnavailable() {
-        isStoreUnavailable = true;
+    /** Records that a call to the store has failed. */
+    public void recordStoreFailure() {
+        hasFailed = true;
     }
 
     /**
-     * Records that the store responds.
+     * Records that the store has served this gateway or a peer.
      *
      * @param nowNanos monotonic time in ns
      */
-    public void markStoreAvailable(long nowNanos) {
-        if (isStoreUnavailable) {
-            isStoreUnavailable = false;
-            hadOutage = true;
-            availableSinceNanos = nowNanos;
+    public void recordStoreServed(long nowNanos) {
+        long unservedNanos = nowNanos - servedNanos.orElse(nowNanos);
+        if (hasFailed && unservedNanos >= MIN_OUTAGE.toNanos()) {
+            graceEndNanos = OptionalLong.of(nowNanos + REREGISTRATION_GRACE.toNanos());
         }
+        hasFailed = false;
+        servedNanos = OptionalLong.of(nowNanos);
     }
 
     /**
@@ -111,6 +115,6 @@
     }
 
     private boolean isInGracePeriod(long nowNanos) {
-        return isStoreUnavailable || hadOutage && nowNanos - availableSinceNanos < REREGISTRATION_GRACE.toNanos();
+        return graceEndNanos.isPresent() && nowNanos - graceEndNanos.getAsLong() < 0;
     }
 }
--- a/core/src/test/java/org/citrontide/core/gateway/MembershipViewTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/MembershipViewTest.java
@@ -26,8 +26,9 @@
     void anEntryThatExpiredDuringAStoreOutageIsKeptForAGracePeriod() {
         view.putEntry(upstream("a", false));
         view.putEntry(upstream("b", false));
-        view.markStoreUnavailable();
-        view.markStoreAvailable(10 * SECOND);
+        view.recordStoreServed(5 * SECOND);
+        view.recordStoreFailure();
+        view.recordStoreServed(10 * SECOND);
         view.replaceAll(List.of(), 10 * SECOND);
         assertEquals(2, view.upstreams().size());
         view.putEntry(upstream("a", false));
@@ -36,11 +37,31 @@
         assertEquals(List.of(upstream("a", false)), view.upstreams());
     }
 
+    @Test
+    void anEntryRemovedAfterAShortInterruptionIsDroppedImmediately() {
+        view.putEntry(upstream("a", false));
+        view.recordStoreServed(8 * SECOND);
+        view.recordStoreFailure();
+        view.recordStoreServed(10 * SECOND - 1);
+        view.removeEntry("a", 10 * SECOND);
+        assertEquals(List.of(), view.upstreams());
+    }
+
+    @Test
+    void aLongPauseBetweenCallsIsNoOutage() {
+        view.putEntry(upstream("a", false));
+        view.recordStoreServed(5 * SECOND);
+        view.recordStoreServed(10 * SECOND);
+        view.removeEntry("a", 10 * SECOND);
+        assertEquals(List.of(), view.upstreams());
+    }
+
     @Test
     void aDrainingUpstreamIsNotKept() {
         view.putEntry(upstream("a", true));
-        view.markStoreUnavailable();
-        view.markStoreAvailable(10 * SECOND);
+        view.recordStoreServed(5 * SECOND);
+        view.recordStoreFailure();
+        view.recordStoreServed(10 * SECOND);
         view.removeEntry("a", 10 * SECOND);
         assertEquals(List.of(), view.upstreams());
     }
--- a/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
@@ -206,6 +206,7 @@
     }
 
     private void adoptPeerCopy(InetSocketAddress peer, MetadataStore.Page page) {
+        membership.recordStoreServed(System.nanoTime());
         if (page.revision() <= revision.orElse(0L)) {
             return;
         }
@@ -214,8 +215,6 @@
                 .with("revision", page.revision())
                 .with("own-revision", revision.orElse(0L))
                 .write();
-        // The peer can read the store, so entries missing from its copy have been removed.
-        membership.markStoreAvailable(System.nanoTime());
         handleFullRead(page.items());
         revision = Optional.of(page.revision());
     }
@@ -236,6 +235,7 @@
         listener.crashEvidenceUpdated(crashEvidence());
         listener.leaderKeyUpdated(items.stream().anyMatch(i -> i.key().equals(LeaderElection.LEADER_KEY)));
         membership.replaceAll(upstreams, System.nanoTime());
+        membership.expire(System.nanoTime());
         listener.upstreamsUpdated(membership.upstreams());
     }
 
@@ -246,8 +246,8 @@
             if (changes.changes().stream().anyMatch(c -> c.key().startsWith(CrashEvidenceStore.PREFIX))) {
                 listener.crashEvidenceUpdated(crashEvidence());
             }
-            membership.expire(System.nanoTime());
-            if (!changes.changes().isEmpty()) {
+            boolean hasExpired = membership.expire(System.nanoTime());
+            if (hasExpired || !changes.changes().isEmpty()) {
                 listener.upstreamsUpdated(membership.upstreams());
             }
             revision = Optional.of(Math.max(after, changes.revision()));
@@ -378,7 +378,7 @@
 
     private void handleUnavailable(String reason) {
         consecutiveFailures++;
-        membership.markStoreUnavailable();
+        membership.recordStoreFailure();
         if (!isStoreUnavailable) {
             isStoreUnavailable = true;
             LOG.warn("store-lost").with("why", reason).write();
@@ -390,7 +390,7 @@
 
     private void handleAvailable() {
         consecutiveFailures = 0;
-        membership.markStoreAvailable(System.nanoTime());
+        membership.recordStoreServed(System.nanoTime());
         if (isStoreUnavailable) {
             isStoreUnavailable = false;
             LOG.info("store-recovered")
--- a/gateway/src/test/java/org/citrontide/gateway/GatewayTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/GatewayTest.java
@@ -18,6 +18,8 @@
 
 /** Tests a complete gateway over sockets, with a fake platform store and fake upstreams that misbehave. */
 final class GatewayTest extends GatewayHarness {
+    // The users' bound on the time until a removed upstream gets no more requests.
+    private static final int DRAIN_MS = 2000;
     private static final String EVENT = "id: %d\ndata: word-%d\n\n";
 
     @Test
@@ -367,6 +369,58 @@
         }
     }
 
+    @Test
+    void anUpstreamRemovedWhileTheStoreTurnsTheGatewayAwayGetsNoMoreRequests() throws IOException {
+        FakeHttpUpstream a = addUpstream("a", (r, reply) -> reply.writeResponse("200 OK", "a"));
+        FakeHttpUpstream b = addUpstream("b", (r, reply) -> reply.writeResponse("200 OK", "b"));
+        store.setMode(FakePlatformStore.Mode.REFUSING);
+        try (FakePlatformStore peerStore = new FakePlatformStore();
+                RawCaller c = new RawCaller(callerPort)) {
+            // Represents the same store, which still serves the peer.
+            for (int i = 0; i < 100; i++) {
+                peerStore.put("servers/a", a.entry("svc", "ready"));
+            }
+            peerStore.put("servers/b", b.entry("svc", "ready"));
+            peerStore.put("op/config", configuration(9));
+            createGateway(
+                            "vm2",
+                            TestPorts.allocate(),
+                            TestPorts.allocate(),
+                            peerStore,
+                            Optional.of(localAddress(peerPort)),
+                            List.of())
+                    .start();
+            // The peer has served this gateway for longer than the grace period after an outage.
+            pause(5000);
+            peerStore.remove("servers/a");
+            pause(DRAIN_MS);
+            int servedBefore = a.requests().size();
+            for (int i = 1; i <= 20; i++) {
+                assertEquals(200, requestStatus(c, "/look/"));
+            }
+            assertEquals(0, a.requests().size() - servedBefore);
+        }
+    }
+
+    @Test
+    void anUpstreamMissingAfterAnOutageIsDroppedWithoutAFurtherChange() throws IOException {
+        FakeHttpUpstream a = addUpstream("a", (r, reply) -> reply.writeResponse("200 OK", "a"));
+        addUpstream("b", (r, reply) -> reply.writeResponse("200 OK", "b"));
+        store.setMode(FakePlatformStore.Mode.REFUSING);
+        pause(3000);
+        store.remove("servers/a");
+        store.setMode(FakePlatformStore.Mode.UP);
+        // The grace period and the longest time between two reads of the store.
+        pause(2200 + 1800 + 1000);
+        int servedBefore = a.requests().size();
+        try (RawCaller c = new RawCaller(callerPort)) {
+            for (int i = 1; i <= 20; i++) {
+                assertEquals(200, requestStatus(c, "/look/"));
+            }
+        }
+        assertEquals(0, a.requests().size() - servedBefore);
+    }
+
     @Test
     void aGatewayRegistersSoThatOthersCanCountIt() {
         await("registered", () -> store.has("citrontide/gateways/vm1"));
