Retry the write of crash evidence in one chain

Cause: each failed write scheduled its own retry, and each observation in an outage made such a write. Class: retries that multiply.

Evidence: CrashEvidenceStoreTest counted 21 calls for 10 observations in 5 s without the store, 13 wanted; green now.

--- a/gateway/src/main/java/org/citrontide/gateway/store/CrashEvidenceStore.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/CrashEvidenceStore.java
@@ -58,6 +58,7 @@
     private final Map<String, CrashEvidence> unread = new HashMap<>();
     private final Map<String, CrashEvidence> shared = new HashMap<>();
     private boolean isWriting;
+    private boolean isRetryScheduled;
 
     /**
      * Creates an empty store.
@@ -176,10 +177,24 @@
                     .with("why", failure != null ? failure.getMessage() : "status " + response.status())
                     .write();
             sendToPeers(batch);
-            loop.schedule(this::write, RETRY_DELAY.toMillis(), TimeUnit.MILLISECONDS);
+            scheduleRetry();
         });
     }
 
+    private void scheduleRetry() {
+        if (isRetryScheduled) {
+            return;
+        }
+        isRetryScheduled = true;
+        loop.schedule(
+                () -> {
+                    isRetryScheduled = false;
+                    write();
+                },
+                RETRY_DELAY.toMillis(),
+                TimeUnit.MILLISECONDS);
+    }
+
     /** Sends this gateway's own observations to all peers, any of which may be unable to write them as well. */
     private void sendToPeers(Map<String, CrashEvidence> batch) {
         long nowNanos = System.nanoTime();
