--- a/core/src/main/java/org/citrontide/core/expertmap/GroupMapController.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/GroupMapController.java
@@ -23,7 +23,7 @@
  *
  * <p>Not thread-safe: confined to one thread. It does no I/O and reads no clock.
  */
-public final class GroupMapController {
+final class GroupMapController {
     // Short, because a new controller knows nothing of the demand until it has read the counts twice.
     private static final Duration INITIAL_SAMPLE_INTERVAL = Duration.ofMillis(150);
     private static final Duration OBSERVE_INTERVAL = Duration.ofMillis(250);
@@ -38,7 +38,6 @@
     private static final int UNCHANGED_READS_TO_OBSERVE = 12;
     // An idle group starts no pass for a long time: after this many waits the usual sample interval applies again.
     private static final int MAX_PASS_WAITS = 8;
-    private static final int VERSIONS_PER_TERM = 1_000_000;
 
     private enum Phase {
         IDLE,
@@ -52,8 +51,7 @@
     private final EngineProfile profile;
     private List<String> members = List.of();
     private boolean isElected;
-    private long term;
-    private int searchesInTerm;
+    private final MapVersionSequence versions;
     private Phase phase = Phase.IDLE;
     private long phaseStartNanos;
     private long nextActionNanos;
@@ -84,12 +82,14 @@
     private final GroupLoadSummary loadSummary = new GroupLoadSummary();
 
     /**
-     * Creates a controller for the group of one service.
+     * Creates a controller for one group.
      *
      * @param profile sizes and speeds of the engines of the service
+     * @param versions versions of the maps, shared with the controllers of other groups of the service
      */
-    public GroupMapController(EngineProfile profile) {
+    GroupMapController(EngineProfile profile, MapVersionSequence versions) {
         this.profile = profile;
+        this.versions = versions;
     }
 
     /**
@@ -99,13 +99,12 @@
      * @param nowNanos monotonic time in ns
      * @return the actions for the shell, in order
      */
-    public List<MapAction> handle(MapEvent event, long nowNanos) {
+    List<MapAction> handle(MapEvent event, long nowNanos) {
         EventContext context = new EventContext(nowNanos);
         switch (event) {
             case MapEvent.Elected e -> {
                 isElected = true;
-                term = e.term();
-                searchesInTerm = 0;
+                versions.startTerm(e.term());
             }
             case MapEvent.Deposed d -> handleDeposed(context);
             case MapEvent.MembersChanged m -> members = m.upstreams();
@@ -129,7 +128,7 @@
      *
      * @return true if the process should not exit yet
      */
-    public boolean isHolding() {
+    boolean isHolding() {
         return change.map(GroupMapChange::isHolding).orElse(false);
     }
 
@@ -434,10 +433,10 @@
         if (phase != Phase.SAMPLING || passEstimator.lastStep() < inForceStep) {
             return;
         }
-        long version = term * VERSIONS_PER_TERM + searchesInTerm + 1;
-        Optional<MapAction.SearchMap> search = rebalancePolicy.orElseThrow().nextSearch(current.orElseThrow(), version);
+        Optional<MapAction.SearchMap> search =
+                rebalancePolicy.orElseThrow().nextSearch(current.orElseThrow(), versions.peek());
         if (search.isPresent()) {
-            searchesInTerm++;
+            versions.advance();
             enterPhase(Phase.SEARCHING, context);
             context.add(search.get());
         }
--- a/core/src/main/java/org/citrontide/core/expertmap/GroupReports.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/GroupReports.java
@@ -1,6 +1,5 @@
 package org.citrontide.core.expertmap;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -8,9 +7,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.TreeMap;
 
-/** One round of reports from the upstreams of a service, evaluated as reports of a group of ranks. Not thread-safe. */
+/** One round of reports from the upstreams of one group of ranks. Not thread-safe. */
 final class GroupReports {
     private final Map<String, RankReport> byUpstream = new HashMap<>();
 
@@ -22,12 +20,11 @@
         byUpstream.put(upstream, report);
     }
 
-    /** Returns the upstreams, in rank order, of the first group that is open and has reports from all of its ranks. */
+    /** Returns the upstreams in rank order if the group is open and all of its ranks have reported. */
     Optional<List<String>> completeGroup() {
-        Map<String, List<String>> groups = new TreeMap<>();
-        byUpstream.forEach((id, r) ->
-                groups.computeIfAbsent(r.group(), g -> new ArrayList<>()).add(id));
-        return groups.values().stream().filter(this::isComplete).findFirst().map(this::inRankOrder);
+        return Optional.of(List.copyOf(byUpstream.keySet()))
+                .filter(this::isComplete)
+                .map(this::inRankOrder);
     }
 
     RankReport of(String upstream) {
@@ -66,6 +63,9 @@
     }
 
     private boolean isComplete(List<String> ids) {
+        if (ids.isEmpty()) {
+            return false;
+        }
         RankReport first = of(ids.getFirst());
         Set<Integer> numbers = new HashSet<>();
         for (String id : ids) {
--- a/core/src/test/java/org/citrontide/core/expertmap/FakeGroup.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/FakeGroup.java
@@ -30,6 +30,7 @@
         }
     }
 
+    private final String name;
     private final GroupDemand demand;
     private final int size;
     private final List<Rank> ranks = new ArrayList<>();
@@ -42,6 +43,7 @@
     private long heldMs;
     private int changes;
     private boolean isIdle;
+    private boolean isOpen = true;
     private int slowRank = -1;
     private int passTimeFactor = 1;
     private int reportLagSpreadMs;
@@ -53,6 +55,11 @@
     }
 
     FakeGroup(int size, GroupDemand demand) {
+        this("g", size, demand);
+    }
+
+    FakeGroup(String name, int size, GroupDemand demand) {
+        this.name = name;
         this.size = size;
         this.demand = demand;
         form();
@@ -96,7 +103,7 @@
             }
         }
         recordHoldTime(nowMs);
-        if (nowMs >= nextPassMs && !isHeld() && !isIdle) {
+        if (nowMs >= nextPassMs && !isHeld() && !isIdle && isOpen) {
             startPass(nowMs);
         }
         history.add(reports());
@@ -125,6 +132,14 @@
         this.isIdle = isIdle;
     }
 
+    /** Breaks the group, or forms it again with map 0. */
+    void setOpen(boolean open) {
+        if (open && !isOpen) {
+            crash();
+        }
+        isOpen = open;
+    }
+
     /** Crashes the group and forms it again with map 0. */
     void crash() {
         epoch++;
@@ -246,11 +261,11 @@
             OptionalLong prepared =
                     r.prepared.isPresent() ? OptionalLong.of(r.prepared.get().version()) : OptionalLong.empty();
             list.add(new RankReport(
-                    "g",
+                    name,
                     epoch,
                     i,
                     size,
-                    true,
+                    isOpen,
                     step,
                     r.map.version(),
                     prepared,
--- a/core/src/test/java/org/citrontide/core/expertmap/MapControllerSimulation.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/MapControllerSimulation.java
@@ -125,7 +125,7 @@
     }
 
     private void kill(ControllerProcess p) {
-        p.controller = new GroupMapController(profile);
+        p.controller = new GroupMapController(profile, new MapVersionSequence());
         p.incarnation++;
         p.localLeaseEndMs = -1;
         p.controller.handle(new MapEvent.MembersChanged(members()), nowMs * 1_000_000);
@@ -296,7 +296,7 @@
         private int incarnation;
 
         private ControllerProcess(EngineProfile profile) {
-            controller = new GroupMapController(profile);
+            controller = new GroupMapController(profile, new MapVersionSequence());
         }
     }
 }
--- a/gateway/src/main/java/org/citrontide/gateway/maps/MapControllerShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/maps/MapControllerShell.java
@@ -13,11 +13,11 @@
 import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
-import org.citrontide.core.expertmap.GroupMapController;
 import org.citrontide.core.expertmap.MapAction;
 import org.citrontide.core.expertmap.MapEvent;
 import org.citrontide.core.expertmap.OrderOutcome;
 import org.citrontide.core.expertmap.OrderTimeouts;
+import org.citrontide.core.expertmap.ServiceMapController;
 import org.citrontide.core.routes.EngineProfile;
 import org.citrontide.core.routes.ListedUpstream;
 import org.citrontide.core.routes.RoutingTable;
@@ -43,12 +43,15 @@
     private static final int MAX_SEARCH_STEPS = 40;
     private static final int OK = 200;
 
+    /** Names a group of a service, as the target of results. */
+    private record GroupKey(String service, String group) {}
+
     private final PlatformClient client;
     private final ReportReader reports;
     private final EventLoop loop;
     private final Executor searchExecutor = Executors.newSingleThreadExecutor(
             r -> Thread.ofPlatform().daemon().name("map-planner").unstarted(r));
-    private final Map<String, GroupMapController> controllers = new HashMap<>();
+    private final Map<String, ServiceMapController> controllers = new HashMap<>();
     private final Map<String, EngineProfile> profiles = new HashMap<>();
     private Map<String, ListedUpstream> upstreams = Map.of();
     private final Runnable leaseCheck;
@@ -128,14 +131,14 @@
      * @return true if the process should not exit yet
      */
     public boolean isHolding() {
-        return controllers.values().stream().anyMatch(GroupMapController::isHolding);
+        return controllers.values().stream().anyMatch(ServiceMapController::isHolding);
     }
 
     private void ensureController(String service, EngineProfile profile) {
         if (profile.equals(profiles.put(service, profile))) {
             return;
         }
-        controllers.put(service, new GroupMapController(profile));
+        controllers.put(service, new ServiceMapController(profile));
         term.ifPresent(t -> handle(service, new MapEvent.Elected(t)));
         updateMembers(service);
     }
@@ -152,32 +155,43 @@
 
     private void handle(String service, MapEvent event) {
         leaseCheck.run();
-        for (MapAction action : controllers.get(service).handle(event, System.nanoTime())) {
-            switch (action) {
-                case MapAction.ReadReport r -> readReport(service, r.upstream());
-                case MapAction.ReadCounts r -> readCounts(service, r.upstream());
-                case MapAction.ReadExperts r -> readExperts(service, r.upstream());
-                case MapAction.SendOrder s -> sendOrder(service, s);
-                case MapAction.SearchMap p -> searchMap(service, p);
+        perform(service, controllers.get(service).handle(event, System.nanoTime()));
+    }
+
+    private void handleResult(GroupKey key, MapEvent event) {
+        leaseCheck.run();
+        perform(key.service(), controllers.get(key.service()).handleResult(key.group(), event, System.nanoTime()));
+    }
+
+    private void perform(String service, List<ServiceMapController.GroupAction> actions) {
+        for (ServiceMapController.GroupAction action : actions) {
+            GroupKey key = new GroupKey(service, action.group());
+            switch (action.action()) {
+                case MapAction.ReadReport r -> readReport(key, r.upstream());
+                case MapAction.ReadCounts r -> readCounts(key, r.upstream());
+                case MapAction.ReadExperts r -> readExperts(key, r.upstream());
+                case MapAction.SendOrder s -> sendOrder(key, s);
+                case MapAction.SearchMap p -> searchMap(key, p);
                 case MapAction.LogEvent n ->
                     LOG.info(n.event())
                             .with("service", service)
+                            .with("group", key.group())
                             .with("detail", n.detail())
                             .write();
             }
         }
     }
 
-    private void readReport(String service, String id) {
+    private void readReport(GroupKey key, String id) {
         ListedUpstream u = upstreams.get(id);
         if (u == null) {
-            loop.execute(() -> handle(service, new MapEvent.ReportRead(id, Optional.empty())));
+            loop.execute(() -> handleResult(key, new MapEvent.ReportRead(id, Optional.empty())));
             return;
         }
-        reports.read(u, report -> handle(service, new MapEvent.ReportRead(id, report)));
+        reports.read(u, report -> handleResult(key, new MapEvent.ReportRead(id, report)));
     }
 
-    private void readCounts(String service, String id) {
+    private void readCounts(GroupKey key, String id) {
         callUpstream(id, EngineCalls.readCounts(), READ_TIMEOUT, response -> {
             Optional<MapEvent.ExpertCounts> counts = Optional.empty();
             if (response.isPresent() && response.get().status() == OK) {
@@ -187,11 +201,11 @@
                     logUnreadable(id, e);
                 }
             }
-            handle(service, new MapEvent.CountsRead(id, counts));
+            handleResult(key, new MapEvent.CountsRead(id, counts));
         });
     }
 
-    private void readExperts(String service, String id) {
+    private void readExperts(GroupKey key, String id) {
         callUpstream(id, EngineCalls.readExperts(), READ_TIMEOUT, response -> {
             MapEvent.ExpertsRead experts = new MapEvent.ExpertsRead(id, 0, Optional.empty());
             if (response.isPresent() && response.get().status() == OK) {
@@ -201,29 +215,29 @@
                     logUnreadable(id, e);
                 }
             }
-            handle(service, experts);
+            handleResult(key, experts);
         });
     }
 
-    private void sendOrder(String service, MapAction.SendOrder s) {
+    private void sendOrder(GroupKey key, MapAction.SendOrder s) {
         PlatformCall call = EngineCalls.sendOrder(s.order(), s.epoch());
         int bytes = call.body().length;
         callUpstream(s.upstream(), call, orderTimeouts.start(bytes), response -> {
             orderTimeouts.end(bytes);
             OrderOutcome outcome =
                     response.map(x -> EngineCalls.orderOutcome(x.status())).orElse(OrderOutcome.UNANSWERED);
-            handle(service, new MapEvent.OrderEnded(s.upstream(), s.order(), outcome));
+            handleResult(key, new MapEvent.OrderEnded(s.upstream(), s.order(), outcome));
         });
     }
 
-    private void searchMap(String service, MapAction.SearchMap p) {
+    private void searchMap(GroupKey key, MapAction.SearchMap p) {
         CompletableFuture.supplyAsync(() -> p.search(MAX_SEARCH_STEPS), searchExecutor)
                 .whenComplete((map, failure) -> {
                     if (failure != null) {
                         LOG.error("map-search-failed", failure).write();
                         return;
                     }
-                    loop.execute(() -> handle(service, new MapEvent.SearchEnded(map)));
+                    loop.execute(() -> handleResult(key, new MapEvent.SearchEnded(map)));
                 });
     }
 
