--- a/gateway/src/main/java/org/citrontide/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/org/citrontide/gateway/caller/CallerServer.java
@@ -18,6 +18,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import org.citrontide.core.routes.CallerLimits;
+import org.citrontide.runtime.eventloop.GuardedTask;
 
 /**
  * Accepts the connections of callers and closes those that exceed a timeout.
@@ -82,7 +83,7 @@
         }
         loop.next()
                 .scheduleAtFixedRate(
-                        this::checkTimeouts,
+                        new GuardedTask("caller-timeouts", this::checkTimeouts),
                         CHECK_INTERVAL.toMillis(),
                         CHECK_INTERVAL.toMillis(),
                         TimeUnit.MILLISECONDS);
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
@@ -23,6 +23,7 @@
 import org.citrontide.gateway.store.StoreMirror;
 import org.citrontide.platform.DecodeException;
 import org.citrontide.platform.MetadataStore;
+import org.citrontide.runtime.eventloop.GuardedTask;
 
 /**
  * Control plane of one gateway: mirrors the store, takes part in the leader election, and changes expert maps while
@@ -144,6 +145,12 @@
     }
 
     private void tick() {
+        new GuardedTask("control-tick", this::runDueTasks).run();
+        Duration pause = isLeader || isHolding ? LEADER_TICK : FOLLOWER_TICK;
+        loop.schedule(this::tick, pause.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void runDueTasks() {
         leaderElection.checkLease();
         mapControllers.tick();
         isHolding = mapControllers.isHolding();
@@ -151,8 +158,6 @@
             updateRoster();
         }
         resignIfPossible();
-        Duration pause = isLeader || isHolding ? LEADER_TICK : FOLLOWER_TICK;
-        loop.schedule(this::tick, pause.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     /** Recomputes what depends on the other gateways, also as registrations age and the wall clock is adjusted. */
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
@@ -39,6 +39,7 @@
 import org.citrontide.gateway.upstream.UpstreamChecker;
 import org.citrontide.gateway.upstream.UpstreamConnectionPool;
 import org.citrontide.platform.PlatformHeaders;
+import org.citrontide.runtime.eventloop.GuardedTask;
 
 /**
  * Connects the {@link GatewayDispatcher} to the network: passes requests, responses and timer ticks to it as events,
@@ -86,7 +87,8 @@
         this.checker = new UpstreamChecker(loop);
         this.random = random;
         this.metrics = metrics;
-        loop.scheduleAtFixedRate(this::tick, TICK.toMillis(), TICK.toMillis(), TimeUnit.MILLISECONDS);
+        Runnable tick = new GuardedTask("dispatch-tick", this::tick);
+        loop.scheduleAtFixedRate(tick, TICK.toMillis(), TICK.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     /** Marks the process as stopping, so that each caller's connection is closed after its next response. */
--- a/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
@@ -24,13 +24,15 @@
 import org.citrontide.platform.MetadataStore.Item;
 import org.citrontide.platform.PlatformCall;
 import org.citrontide.platform.UpstreamDecoder;
+import org.citrontide.runtime.eventloop.GuardedTask;
 import org.citrontide.runtime.log.EventLog;
 
 /**
  * Mirrors the store: a single watch over all keys delivers the configuration and the list of upstreams.
  *
  * <p>Invariants: a version of the configuration is passed on only if it is higher than the previous one; an entry that
- * can't be decoded yields no upstream and doesn't affect the others. Not thread-safe: confined to the event loop.
+ * can't be decoded yields no upstream and doesn't affect the others; an unexpected failure of the listener ends neither
+ * the handling of other changes nor the watch. Not thread-safe: confined to the event loop.
  */
 public final class StoreMirror {
     private static final EventLog LOG = EventLog.of(StoreMirror.class);
@@ -231,12 +233,13 @@
                 decode(i).ifPresent(upstreams::add);
             }
         }
-        listener.gatewaysUpdated(gateways());
-        listener.crashEvidenceUpdated(crashEvidence());
-        listener.leaderKeyUpdated(items.stream().anyMatch(i -> i.key().equals(LeaderElection.LEADER_KEY)));
         membership.replaceAll(upstreams, System.nanoTime());
         membership.expire(System.nanoTime());
-        listener.upstreamsUpdated(membership.upstreams());
+        notifyListener("gateways", () -> listener.gatewaysUpdated(gateways()));
+        notifyListener("crash-evidence", () -> listener.crashEvidenceUpdated(crashEvidence()));
+        boolean isLeaderKeyHeld = items.stream().anyMatch(i -> i.key().equals(LeaderElection.LEADER_KEY));
+        notifyListener("leader-key", () -> listener.leaderKeyUpdated(isLeaderKeyHeld));
+        notifyListener("upstreams", () -> listener.upstreamsUpdated(membership.upstreams()));
     }
 
     private void watch(long after) {
@@ -244,11 +247,11 @@
             MetadataStore.Changes changes = MetadataStore.decodeChanges(body);
             changes.changes().forEach(this::handleChange);
             if (changes.changes().stream().anyMatch(c -> c.key().startsWith(CrashEvidenceStore.PREFIX))) {
-                listener.crashEvidenceUpdated(crashEvidence());
+                notifyListener("crash-evidence", () -> listener.crashEvidenceUpdated(crashEvidence()));
             }
             boolean hasExpired = membership.expire(System.nanoTime());
             if (hasExpired || !changes.changes().isEmpty()) {
-                listener.upstreamsUpdated(membership.upstreams());
+                notifyListener("upstreams", () -> listener.upstreamsUpdated(membership.upstreams()));
             }
             revision = Optional.of(Math.max(after, changes.revision()));
             schedule(WATCH_PAUSE);
@@ -270,10 +273,11 @@
             c.item().ifPresent(this::handleConfiguration);
         }
         if (c.key().startsWith(GatewayRegistration.PREFIX)) {
-            listener.gatewaysUpdated(gateways());
+            notifyListener("gateways", () -> listener.gatewaysUpdated(gateways()));
         }
         if (c.key().equals(LeaderElection.LEADER_KEY)) {
-            listener.leaderKeyUpdated(c.item().isPresent());
+            notifyListener(
+                    "leader-key", () -> listener.leaderKeyUpdated(c.item().isPresent()));
         }
         if (!c.key().startsWith(UpstreamDecoder.KEY_PREFIX)) {
             return;
@@ -332,7 +336,7 @@
                         .with("revision", i.revision())
                         .with("age-ms", millisSinceLastResponse())
                         .write();
-                listener.configurationChanged(table);
+                notifyListener("configuration", () -> listener.configurationChanged(table));
             }
         } catch (DecodeException e) {
             LOG.warn("configuration-unusable")
@@ -344,6 +348,10 @@
         }
     }
 
+    private static void notifyListener(String subject, Runnable notification) {
+        new GuardedTask("notify-" + subject, notification).run();
+    }
+
     private long millisSinceLastResponse() {
         return Duration.ofNanos(System.nanoTime() - lastResponseNanos).toMillis();
     }
@@ -372,6 +380,9 @@
                         handler.handle(response.body());
                     } catch (DecodeException e) {
                         handleUnavailable(e.getMessage());
+                    } catch (RuntimeException | StackOverflowError e) {
+                        LOG.error("store-response-unhandled", e).write();
+                        handleUnavailable("unexpected failure");
                     }
                 });
     }
--- a/gateway/src/test/java/org/citrontide/gateway/GatewayTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/GatewayTest.java
@@ -444,6 +444,34 @@
                 .allMatch(r -> r.header("Citrontide-Expect-Instance").equals("a")));
     }
 
+    @Test
+    void oddUpstreamEntriesAreLeftOutAndLaterChangesAreFollowed() throws IOException {
+        FakeHttpUpstream a = addUpstream("a", (r, reply) -> reply.writeResponse("200 OK", "a"));
+        String entry = a.entry("svc", "ready");
+        store.put("servers/nested", "[".repeat(100_000));
+        store.put("servers/nested-field", entry.replace("\"slots\":4", "\"slots\":4,\"x\":" + "{\"a\":".repeat(900)));
+        store.put("servers/slots", entry.replace("\"slots\":4", "\"slots\":2000000000"));
+        store.put("servers/number", entry.replace("\"sequence\":1", "\"sequence\":" + "9".repeat(100_000)));
+        store.put("servers/port", entry.replaceAll("127.0.0.1:[0-9]+", "127.0.0.1:70000"));
+        store.put("servers/port-zero", entry.replaceAll("127.0.0.1:[0-9]+", "127.0.0.1:0"));
+        store.put("servers/octet", entry.replace("127.0.0.1", "999.999.999.999"));
+        store.put("servers/line\r\nbreak: x", entry);
+        store.put("servers/", entry);
+        store.put("servers/noise", "\u0000\ufffd".repeat(200_000));
+        FakeHttpUpstream b = addUpstream("b", (r, reply) -> reply.writeResponse("200 OK", "b"));
+        try (RawCaller c = new RawCaller(callerPort)) {
+            for (int i = 1; i <= 40; i++) {
+                assertEquals(200, requestStatus(c, "/look/"));
+            }
+            store.put("op/config", configuration(9).replace("/look/", "/see/"));
+            await("the new route is in force", () -> requestStatus(c, "/see/") == 200);
+        }
+        assertTrue(a.requests().stream()
+                .allMatch(r -> r.header("Citrontide-Expect-Instance").equals("a")));
+        assertTrue(b.requests().stream()
+                .allMatch(r -> r.header("Citrontide-Expect-Instance").equals("b")));
+    }
+
     private static void rejectFirst(boolean isFirst, FakeHttpUpstream.Reply reply) throws IOException {
         if (isFirst) {
             reply.write("HTTP/1.1 503 Service Unavailable\r\nCitrontide-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
--- /dev/null
+++ b/gateway/src/test/java/org/citrontide/gateway/store/StoreMirrorTest.java
@@ -0,0 +1,115 @@
+package org.citrontide.gateway.store;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.citrontide.core.routes.ListedUpstream;
+import org.citrontide.core.routes.RoutingTable;
+import org.citrontide.fakes.platform.FakePlatformStore;
+import org.citrontide.platform.MetadataStore;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Runs a mirror of a fake store whose listener fails unexpectedly. */
+final class StoreMirrorTest {
+    private static final String ENTRY = "{\"service\":\"svc\",\"address\":\"127.0.0.1:8080\",\"zone\":\"z1\","
+            + "\"version\":\"v1\",\"slots\":4,\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":1}";
+    private static final long AWAIT_SECONDS = 20;
+
+    private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private FakePlatformStore store;
+
+    @BeforeEach
+    void start() throws IOException {
+        store = new FakePlatformStore();
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        store.close();
+        loops.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void isFollowedFurtherAfterTheListenerFailed() {
+        FailingListener listener = new FailingListener();
+        store.put("servers/a", ENTRY);
+        store.put("op/config", configuration(1));
+        startMirror(listener);
+        await("the first upstream is known", () -> listener.upstreams.contains("a"));
+        for (int version = 2; version <= 4; version++) {
+            String id = "u" + version;
+            store.put("servers/" + id, ENTRY);
+            store.put("op/config", configuration(version));
+            int expected = version;
+            await("version " + version, () -> listener.versions.contains((long) expected));
+            await("upstream " + id, () -> listener.upstreams.contains(id));
+        }
+    }
+
+    private void startMirror(StoreMirror.Listener listener) {
+        EventLoop loop = loops.next();
+        InetSocketAddress address = new InetSocketAddress("127.0.0.1", store.port());
+        StoreMirror mirror = new StoreMirror(
+                new PlatformClient(loop), address, List.of(), loop, new SplittableRandom(1), listener);
+        loop.execute(mirror::start);
+    }
+
+    private static String configuration(int version) {
+        return "{\"version\":" + version + ",\"routes\":[],\"services\":[],\"tenants\":[]}";
+    }
+
+    private static void await(String description, BooleanSupplier condition) {
+        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(AWAIT_SECONDS);
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() < deadline, "timed out waiting for " + description);
+            Thread.onSpinWait();
+        }
+    }
+
+    /** Records the changes, and throws after every one of them. */
+    private static final class FailingListener implements StoreMirror.Listener {
+        private final Set<String> upstreams = ConcurrentHashMap.newKeySet();
+        private final List<Long> versions = new CopyOnWriteArrayList<>();
+
+        @Override
+        public void configurationChanged(RoutingTable table) {
+            versions.add(table.version());
+            throw new IllegalStateException("configuration");
+        }
+
+        @Override
+        public void upstreamsUpdated(List<ListedUpstream> list) {
+            list.forEach(u -> upstreams.add(u.id()));
+            throw new IllegalStateException("upstreams");
+        }
+
+        @Override
+        public void leaderKeyUpdated(boolean isHeld) {
+            throw new IllegalStateException("leader key");
+        }
+
+        @Override
+        public void gatewaysUpdated(List<String> vms) {
+            throw new IllegalStateException("gateways");
+        }
+
+        @Override
+        public void crashEvidenceUpdated(List<MetadataStore.Item> items) {
+            throw new IllegalStateException("crash evidence");
+        }
+    }
+}
--- a/runtime/src/main/java/org/citrontide/runtime/eventloop/EventLoop.java
+++ b/runtime/src/main/java/org/citrontide/runtime/eventloop/EventLoop.java
@@ -107,21 +107,28 @@
         while (!closed) {
             try {
                 awaitBatch(batch);
-                for (E e : batch) {
-                    handler.handle(e);
-                }
-                handler.runDueTasks();
             } catch (InterruptedException e) {
                 return;
-            } catch (RuntimeException e) {
-                LOG.error("event-loop-failed", e)
-                        .with("event-loop", thread.getName())
-                        .write();
             }
+            for (E e : batch) {
+                runGuarded(() -> handler.handle(e));
+            }
+            runGuarded(handler::runDueTasks);
             batch.clear();
         }
     }
 
+    /** Runs a part of a batch, so that its failure doesn't discard the rest. */
+    private void runGuarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            LOG.error("event-loop-failed", e)
+                    .with("event-loop", thread.getName())
+                    .write();
+        }
+    }
+
     private void awaitBatch(List<E> batch) throws InterruptedException {
         if (queue.drainTo(batch, MAX_BATCH_SIZE) > 0) {
             return;
