--- a/core/src/main/java/org/citrontide/core/expertmap/DemandEstimator.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/DemandEstimator.java
@@ -4,20 +4,30 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Estimates the demand for each expert from the cumulative selection counts of a few ranks.
  *
  * <p>Demand may shift to other experts every few seconds, while each read of the counts pauses the group. The estimate
- * is an exponentially weighted average of the differences between reads. Not thread-safe.
+ * is an exponentially weighted average of the differences between reads. A read covers so few requests that it may differ
+ * from the estimate by chance, so a shift is recognized at once only if the read differs by far more than reads usually
+ * do from each other, and otherwise if the next read differs in the same way. Not thread-safe.
  */
 final class DemandEstimator {
     // Weight of a new read while the demand is steady: averages over about three reads, as one covers few requests.
     private static final double STEADY_WEIGHT = 0.4;
-    // Weight of a new read after a shift: older counts say little about the demand.
+    // Weight of a read that shows a shift: older counts say little about the demand.
     private static final double SHIFTED_WEIGHT = 0.9;
-    // Reads of a steady demand differ by 3 to 7%; a shift moves a quarter of the selections or more.
+    // Weight of a read that confirms the shift which the one before suggested: both count equally.
+    private static final double CONFIRMING_WEIGHT = 0.5;
+    // Reads of a steady demand of many requests differ by 3 to 7%; a shift moves a quarter of the selections or more.
     private static final double SHIFT_THRESHOLD = 0.15;
+    // Two reads confirm a shift if they differ from each other by less than this part of their difference from the
+    // estimate; by chance they differ from each other by more.
+    private static final double MAX_CONFIRMING_DIFFERENCE = 0.7;
+    // A read that differs from the estimate by more than this multiple of the usual difference needs no confirmation.
+    private static final double CLEAR_SHIFT_FACTOR = 2;
     // Added to the shares of a set, in equal parts, so that rarely selected experts are not treated as idle.
     private static final double FLOOR_SHARE = 0.1;
 
@@ -30,6 +40,13 @@
     private boolean hasShifted;
     private long selections;
 
+    private Optional<double[]> lastSample = Optional.empty();
+
+    /** Whether the last sample differed from the estimate as after a shift, or by chance. */
+    private boolean isShiftSuspected;
+
+    private final RecentMedian sampleDistance = new RecentMedian();
+
     DemandEstimator(int sets, int experts) {
         this.sets = sets;
         this.experts = experts;
@@ -67,10 +84,15 @@
             return false;
         }
         selections = total;
-        hasShifted = hasEstimate && shiftedFraction() > SHIFT_THRESHOLD;
-        for (int s = 0; s < sets; s++) {
-            updateSet(s);
+        double[] sample = sampleShares();
+        hasShifted = false;
+        if (hasEstimate) {
+            handleSample(sample);
+        } else {
+            blend(sample, 1);
         }
+        lastSample.ifPresent(last -> sampleDistance.record(distance(sample, last)));
+        lastSample = Optional.of(sample);
         newCounts = new long[newCounts.length];
         hasEstimate = true;
         return true;
@@ -98,17 +120,44 @@
         return loads;
     }
 
-    /** Returns the fraction of the selections that differs from the estimate, as a mean over the sets. */
-    private double shiftedFraction() {
-        double shifted = 0;
+    private void handleSample(double[] sample) {
+        double difference = distance(sample, shares);
+        boolean isDifferent = difference > SHIFT_THRESHOLD;
+        boolean isClear =
+                sampleDistance.isKnown() && difference > CLEAR_SHIFT_FACTOR * sampleDistance.value();
+        boolean isConfirmed = isShiftSuspected
+                && distance(sample, lastSample.orElseThrow()) < MAX_CONFIRMING_DIFFERENCE * difference;
+        hasShifted = isDifferent && (isClear || isConfirmed);
+        isShiftSuspected = isDifferent && !hasShifted;
+        if (!hasShifted) {
+            blend(sample, STEADY_WEIGHT);
+        } else if (isClear) {
+            blend(sample, SHIFTED_WEIGHT);
+        } else {
+            System.arraycopy(lastSample.orElseThrow(), 0, shares, 0, shares.length);
+            blend(sample, CONFIRMING_WEIGHT);
+        }
+    }
+
+    /** Returns the fraction of the selections that differs between two estimates, as a mean over the sets. */
+    private double distance(double[] a, double[] b) {
+        double difference = 0;
+        for (int i = 0; i < a.length; i++) {
+            difference += Math.max(0, a[i] - b[i]);
+        }
+        return difference / sets;
+    }
+
+    /** Returns the shares of the new counts in the selections of each set; a set without any keeps its estimate. */
+    private double[] sampleShares() {
+        double[] sample = shares.clone();
         for (int s = 0; s < sets; s++) {
             double sum = newCountsOfSet(s);
             for (int e = 0; e < experts && sum > 0; e++) {
-                int i = s * experts + e;
-                shifted += Math.max(0, newCounts[i] / sum - shares[i]);
+                sample[s * experts + e] = newCounts[s * experts + e] / sum;
             }
         }
-        return shifted / sets;
+        return sample;
     }
 
     private double newCountsOfSet(int s) {
@@ -119,15 +168,9 @@
         return sum;
     }
 
-    private void updateSet(int s) {
-        double sum = newCountsOfSet(s);
-        if (sum == 0) {
-            return;
-        }
-        double weight = hasEstimate ? (hasShifted ? SHIFTED_WEIGHT : STEADY_WEIGHT) : 1;
-        for (int e = 0; e < experts; e++) {
-            int i = s * experts + e;
-            shares[i] += weight * (newCounts[i] / sum - shares[i]);
+    private void blend(double[] sample, double weight) {
+        for (int i = 0; i < shares.length; i++) {
+            shares[i] += weight * (sample[i] - shares[i]);
         }
     }
 }
--- a/core/src/main/java/org/citrontide/core/expertmap/RebalancePolicy.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/RebalancePolicy.java
@@ -15,6 +15,9 @@
 final class RebalancePolicy {
     // Fewer expert selections, as a mean over the sets, are too noisy to act on.
     private static final int MIN_SELECTIONS = 1500;
+    // Demand may shift every two seconds, and a map found earlier rarely fits it after that. A smaller change that is
+    // in force sooner is followed by another one.
+    private static final Duration MAX_COPY_TIME = Duration.ofMillis(900);
     private static final double MIN_SPEED_CHANGE = 0.1;
     private static final Duration STEADY_AFTER = Duration.ofSeconds(8);
 
@@ -103,7 +106,14 @@
             return Optional.empty();
         }
         return Optional.of(new MapAction.SearchMap(
-                current, loads, profile.maxNewExpertsPerPrepare(), newVersion, parameters.minStepGain(speeds.length)));
+                current, loads, maxNewExperts(), newVersion, parameters.minStepGain(speeds.length)));
+    }
+
+    /** Returns how many experts of each set a rank may copy for one change. */
+    private int maxNewExperts() {
+        long nanosPerExpertOfEachSet = Math.max(1, profile.expertCopyTime(profile.expertSets()).toNanos());
+        long affordable = Math.max(1, MAX_COPY_TIME.toNanos() / nanosPerExpertOfEachSet);
+        return (int) Math.min(profile.maxNewExpertsPerPrepare(), affordable);
     }
 
     /** Returns true if the map found saves enough expert time per pass to be activated. */
