--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
@@ -1,6 +1,7 @@
 package org.citrontide.gateway.upstream;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 
 import io.netty.buffer.ByteBufUtil;
@@ -16,15 +17,18 @@
 import org.citrontide.core.gateway.AttemptOutcome;
 import org.citrontide.core.verdict.Reason;
 import org.citrontide.platform.PlatformHeaders;
+import org.citrontide.runtime.log.EventLog;
 
 /**
  * One connection to an upstream, which carries one attempt at a time.
  *
- * <p>Invariants: a response that echoes the ID of another attempt is skipped; a response without an attempt in flight
- * closes the connection; a response without a length is complete only if the connection was closed without an error.
- * Not thread-safe: owned by the event loop.
+ * <p>Invariants: a response that echoes the ID of another attempt is skipped; a response without an ID is taken only as
+ * the first one of a connection, because a later one may repeat the response to an earlier request; a response without
+ * an attempt in flight closes the connection; a response without a length is complete only if the connection was closed
+ * without an error. Not thread-safe: owned by the event loop.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
+    private static final EventLog LOG = EventLog.of(UpstreamConnection.class);
     private static final String KEEP_ALIVE = "Keep-Alive";
     // No service behind the gateway sends a larger response.
     private static final int MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
@@ -38,7 +42,10 @@
     private final String poolKey;
     private Channel channel;
     private Optional<UpstreamAttempt> current = Optional.empty();
+    private boolean usedBefore;
+    private boolean isReused;
     private boolean skippingResponse;
+    private boolean hasSkippedResponse;
     private boolean connectionFailed;
     private boolean keepAlive;
     private long usableUntilNanos;
@@ -59,6 +66,8 @@
     }
 
     void send(UpstreamAttempt attempt) {
+        isReused = usedBefore;
+        usedBefore = true;
         current = Optional.of(attempt);
         attempt.setConnection(this);
         skippingResponse = false;
@@ -113,19 +122,36 @@
             return;
         }
         UpstreamAttempt attempt = current.get();
-        String echoedAttemptId = response.headers().get(PlatformHeaders.ATTEMPT_ID);
+        List<String> echoedIds = response.headers().getAll(PlatformHeaders.ATTEMPT_ID);
+        boolean isOfAnother = echoedIds.stream().anyMatch(id -> !id.equals(attempt.attemptId()));
         boolean isInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-        skippingResponse = isInterim || echoedAttemptId != null && !echoedAttemptId.equals(attempt.attemptId());
+        skippingResponse = isInterim || isOfAnother;
+        hasSkippedResponse |= isOfAnother;
         if (skippingResponse) {
             return;
         }
+        if (isReused && echoedIds.isEmpty() && !attempt.attemptId().isEmpty()) {
+            rejectUnattributable(attempt, response);
+            return;
+        }
         attempt.setHead(new ResponseHead(response.status().code(), response.headers()));
         boolean isFramed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
-        keepAlive = HttpUtil.isKeepAlive(response) && isFramed;
+        keepAlive = HttpUtil.isKeepAlive(response) && isFramed && !hasSkippedResponse;
         updateKeepAlive(response);
         pool.listener().headReceived(attempt);
     }
 
+    /** Fails the attempt: the response may belong to an earlier request, and the attempt may run or have run. */
+    private void rejectUnattributable(UpstreamAttempt attempt, HttpResponse response) {
+        LOG.warn("response-without-id")
+                .with("upstream", attempt.upstream().id())
+                .with("id", attempt.attemptId())
+                .with("status", response.status().code())
+                .write();
+        failAttempt(Reason.ANSWER_BROKEN);
+        channel.close();
+    }
+
     private void handleContent(HttpContent content) {
         if (content.decoderResult().isFailure()) {
             failAttempt(Reason.ANSWER_BROKEN);
