--- a/core/src/main/java/org/citrontide/core/expertmap/DemandEstimator.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/DemandEstimator.java
@@ -123,10 +123,9 @@
     private void handleSample(double[] sample) {
         double difference = distance(sample, shares);
         boolean isDifferent = difference > SHIFT_THRESHOLD;
-        boolean isClear =
-                sampleDistance.isKnown() && difference > CLEAR_SHIFT_FACTOR * sampleDistance.value();
-        boolean isConfirmed = isShiftSuspected
-                && distance(sample, lastSample.orElseThrow()) < MAX_CONFIRMING_DIFFERENCE * difference;
+        boolean isClear = sampleDistance.isKnown() && difference > CLEAR_SHIFT_FACTOR * sampleDistance.value();
+        boolean isConfirmed =
+                isShiftSuspected && distance(sample, lastSample.orElseThrow()) < MAX_CONFIRMING_DIFFERENCE * difference;
         hasShifted = isDifferent && (isClear || isConfirmed);
         isShiftSuspected = isDifferent && !hasShifted;
         if (!hasShifted) {
--- a/core/src/main/java/org/citrontide/core/expertmap/RebalancePolicy.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/RebalancePolicy.java
@@ -111,7 +111,8 @@
 
     /** Returns how many experts of each set a rank may copy for one change. */
     private int maxNewExperts() {
-        long nanosPerExpertOfEachSet = Math.max(1, profile.expertCopyTime(profile.expertSets()).toNanos());
+        long nanosPerExpertOfEachSet =
+                Math.max(1, profile.expertCopyTime(profile.expertSets()).toNanos());
         long affordable = Math.max(1, MAX_COPY_TIME.toNanos() / nanosPerExpertOfEachSet);
         return (int) Math.min(profile.maxNewExpertsPerPrepare(), affordable);
     }
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
@@ -26,6 +26,7 @@
  *       and {@link GatewayAction.AbortResponse}, unless its caller disconnected; no later action refers to it.
  *   <li>A request ends in {@link Verdict.NotRun} only if each of its attempts certainly did not run.
  *   <li>A request that must run at most once gets another attempt only if all earlier ones certainly did not run.
+ *   <li>A response that has started ends as complete only with an attempt that continued it successfully.
  *   <li>A request reaches at most as many upstreams as its route allows, and retries stay within the retry budget.
  *   <li>No attempt is sent for a prompt with a quarantined part, nor a second one for a prompt that may have crashed an
  *       upstream and has a part that no upstream is known to have answered.
@@ -302,11 +303,22 @@
             open.attempt = Optional.empty();
             attempt.upstream.recordAttemptEnded();
             queue(open).recordSettled(attempt);
-            recordOutcome(open, attempt, ended.outcome());
-            resolve(open, attempt, ended.outcome());
+            AttemptOutcome outcome = effectiveOutcome(open, attempt, ended.outcome());
+            recordOutcome(open, attempt, outcome);
+            resolve(open, attempt, outcome);
             sendWaiting(queue(open));
         }
 
+        /** Returns the outcome, or that the response is broken if it doesn't continue the one that has started. */
+        private static AttemptOutcome effectiveOutcome(
+                OpenGatewayRequest open, OpenGatewayRequest.Attempt attempt, AttemptOutcome outcome) {
+            boolean continuesResponse =
+                    outcome instanceof AttemptOutcome.Completed c && c.isSuccess() && attempt.isStarted;
+            return open.isResponseStarted && outcome instanceof AttemptOutcome.Completed && !continuesResponse
+                    ? new AttemptOutcome.Broken(Reason.ANSWER_BROKEN)
+                    : outcome;
+        }
+
         private void recordResponse(OpenGatewayRequest.Attempt attempt) {
             String service = attempt.upstream.entry().service();
             if (service(service).queue.recordResponse(attempt.sentNanos, nowNanos)) {
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
@@ -225,10 +225,16 @@
         if (exchange == null) {
             return;
         }
-        byte[] events = exchange.eventMerger.add(data);
-        if (exchange.eventMerger.isBroken()) {
+        forwardEvents(exchange, attempt, exchange.eventMerger.add(data));
+        if (exchange.eventMerger.isBroken() && findExchange(attempt) != null) {
             connectionPool.cancel(attempt);
             attemptEnded(attempt, new AttemptOutcome.Broken(Reason.ANSWER_BROKEN));
+        }
+    }
+
+    /** Sends complete events to the caller, and reports the progress of the attempt. */
+    private void forwardEvents(OpenExchange exchange, UpstreamAttempt attempt, byte[] events) {
+        if (events.length == 0 && exchange.eventMerger.isBroken()) {
             return;
         }
         handle(new GatewayEvent.ResponseProgress(attempt.number(), exchange.responseStarted || events.length > 0));
@@ -331,7 +337,7 @@
         OptionalLong resumeAfter = send.request().route().retrySafety() == Route.RetrySafety.RESUMABLE
                 ? exchange.eventMerger.lastEventId()
                 : OptionalLong.empty();
-        exchange.eventMerger.discardPartialEvent();
+        exchange.eventMerger.startAttempt();
         exchange.attempts++;
         exchange.timeToFirstAttempt =
                 exchange.timeToFirstAttempt.or(() -> Optional.of(Duration.ofNanos(ageNanos(exchange))));
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/EventStreamMerger.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/EventStreamMerger.java
@@ -22,6 +22,9 @@
     private boolean hasGap;
     private boolean isOversized;
 
+    /** Whether events of an earlier attempt have been returned. */
+    private boolean isResumed;
+
     /**
      * Adds bytes of the current attempt.
      *
@@ -36,7 +39,6 @@
         ByteArrayOutputStream out = new ByteArrayOutputStream(all.length);
         int start = 0;
         for (int end = findEventEnd(all, start); end > 0; end = findEventEnd(all, start)) {
-            hasEvents = true;
             if (accept(all, start, end)) {
                 out.write(all, start, end - start);
             }
@@ -47,9 +49,11 @@
         return out.toByteArray();
     }
 
-    /** Discards the received part of an incomplete event, which another attempt will send in full. */
-    public void discardPartialEvent() {
+    /** Starts an attempt, which sends the incomplete event of the one before in full. */
+    public void startAttempt() {
+        isResumed = hasEvents;
         partialEvent = new byte[0];
+        hasGap = false;
         isOversized = false;
     }
 
@@ -72,7 +76,8 @@
     }
 
     /**
-     * Returns whether the current attempt can't continue the stream, because an event is missing or too large.
+     * Returns whether the current attempt can't continue the stream, because an event is missing, has no place in the
+     * order of the events, or is too large.
      *
      * @return true if the attempt is to be cancelled
      */
@@ -90,20 +95,42 @@
     }
 
     private boolean accept(byte[] all, int start, int end) {
+        if (isComment(all, start, end)) {
+            return !hasGap;
+        }
         OptionalLong id = parseId(all, start, end);
+        boolean isUnplaceable =
+                id.isEmpty() ? lastEventId.isPresent() || isResumed : isResumed && lastEventId.isEmpty();
+        hasGap |= isUnplaceable;
+        if (hasGap) {
+            return false;
+        }
+        hasEvents = true;
         if (id.isEmpty()) {
             return true;
         }
         if (lastEventId.isPresent() && id.getAsLong() <= lastEventId.getAsLong()) {
             return false;
         }
-        hasGap |= lastEventId.isPresent() && id.getAsLong() != lastEventId.getAsLong() + 1;
+        hasGap = lastEventId.isPresent() && id.getAsLong() != lastEventId.getAsLong() + 1;
         if (!hasGap) {
             lastEventId = id;
         }
         return !hasGap;
     }
 
+    /** Returns whether each line of an event is a comment or empty. */
+    private static boolean isComment(byte[] all, int start, int end) {
+        boolean isLineStart = true;
+        for (int i = start; i < end; i++) {
+            if (isLineStart && all[i] != ':' && all[i] != '\n' && all[i] != '\r') {
+                return false;
+            }
+            isLineStart = all[i] == '\n';
+        }
+        return true;
+    }
+
     /** Returns the position after the blank line that ends the event, or -1 if the event is incomplete. */
     private static int findEventEnd(byte[] all, int start) {
         for (int i = start; i < all.length; i++) {
--- a/gateway/src/test/java/org/citrontide/gateway/upstream/EventStreamMergerTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/upstream/EventStreamMergerTest.java
@@ -34,7 +34,7 @@
     void aSecondAttemptAddsOnlyMissingEvents() {
         add(merger, events(1, 3) + "id: 4\nda");
         assertEquals(3, merger.lastEventId().getAsLong());
-        merger.discardPartialEvent();
+        merger.startAttempt();
         assertEquals(events(4, 6), add(merger, events(2, 6)));
         assertFalse(merger.isBroken());
     }
@@ -55,7 +55,7 @@
         }
         assertTrue(merger.isBroken());
         assertTrue(merger.isAtEventBoundary(), "no bytes of the endless event are kept");
-        merger.discardPartialEvent();
+        merger.startAttempt();
         assertEquals(events(4, 6), add(merger, events(1, 6)));
         assertFalse(merger.isBroken());
     }
