--- a/gateway/src/main/java/org/citrontide/gateway/maps/MapControllerShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/maps/MapControllerShell.java
@@ -17,6 +17,7 @@
 import org.citrontide.core.expertmap.MapEvent;
 import org.citrontide.core.expertmap.OrderOutcome;
 import org.citrontide.core.expertmap.OrderTimeouts;
+import org.citrontide.core.expertmap.RankOrder;
 import org.citrontide.core.expertmap.ServiceMapController;
 import org.citrontide.core.routes.EngineProfile;
 import org.citrontide.core.routes.ListedUpstream;
@@ -192,7 +193,7 @@
     }
 
     private void readCounts(GroupKey key, String id) {
-        callUpstream(id, EngineCalls.readCounts(), READ_TIMEOUT, response -> {
+        callUpstream(client::call, id, EngineCalls.readCounts(), READ_TIMEOUT, response -> {
             Optional<MapEvent.ExpertCounts> counts = Optional.empty();
             if (response.isPresent() && response.get().status() == OK) {
                 try {
@@ -206,7 +207,7 @@
     }
 
     private void readExperts(GroupKey key, String id) {
-        callUpstream(id, EngineCalls.readExperts(), READ_TIMEOUT, response -> {
+        callUpstream(client::call, id, EngineCalls.readExperts(), READ_TIMEOUT, response -> {
             MapEvent.ExpertsRead experts = new MapEvent.ExpertsRead(id, 0, Optional.empty());
             if (response.isPresent() && response.get().status() == OK) {
                 try {
@@ -222,7 +223,10 @@
     private void sendOrder(GroupKey key, MapAction.SendOrder s) {
         PlatformCall call = EngineCalls.sendOrder(s.order(), s.epoch());
         int bytes = call.body().length;
-        callUpstream(s.upstream(), call, orderTimeouts.start(bytes), response -> {
+        // A change relies on each confirmation that a rank holds a pass or is armed, and confirmations name no order.
+        boolean needsOwnConnection = s.order() instanceof RankOrder.Hold || s.order() instanceof RankOrder.Arm;
+        UpstreamCall send = needsOwnConnection ? client::callOnNewConnection : client::call;
+        callUpstream(send, s.upstream(), call, orderTimeouts.start(bytes), response -> {
             orderTimeouts.end(bytes);
             OrderOutcome outcome =
                     response.map(x -> EngineCalls.orderOutcome(x.status())).orElse(OrderOutcome.UNANSWERED);
@@ -242,16 +246,26 @@
     }
 
     private void callUpstream(
-            String id, PlatformCall call, Duration timeout, Consumer<Optional<PlatformResponse>> handler) {
+            UpstreamCall send,
+            String id,
+            PlatformCall call,
+            Duration timeout,
+            Consumer<Optional<PlatformResponse>> handler) {
         ListedUpstream u = upstreams.get(id);
         if (u == null) {
             loop.execute(() -> handler.accept(Optional.empty()));
             return;
         }
-        client.call(new InetSocketAddress(u.host(), u.port()), call.withExpectedUpstream(id), timeout)
+        send.send(new InetSocketAddress(u.host(), u.port()), call.withExpectedUpstream(id), timeout)
                 .whenComplete((response, failure) -> handler.accept(Optional.ofNullable(response)));
     }
 
+    /** A way to send a call. */
+    @FunctionalInterface
+    private interface UpstreamCall {
+        CompletableFuture<PlatformResponse> send(InetSocketAddress address, PlatformCall call, Duration timeout);
+    }
+
     private static void logUnreadable(String id, DecodeException e) {
         LOG.warn("engine-answer-unreadable")
                 .with("upstream", id)
--- a/gateway/src/main/java/org/citrontide/gateway/store/PlatformClient.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/PlatformClient.java
@@ -82,6 +82,22 @@
         return response;
     }
 
+    /**
+     * Sends a call on a connection of its own, so that its response can't be an unsolicited one to an earlier call.
+     *
+     * @param address address of the server
+     * @param call the call to send
+     * @param timeout maximum time until the response
+     * @return the response; completes exceptionally with an {@link IOException} if there is none
+     */
+    public CompletableFuture<PlatformResponse> callOnNewConnection(
+            InetSocketAddress address, PlatformCall call, Duration timeout) {
+        callCount++;
+        CompletableFuture<PlatformResponse> response = new CompletableFuture<>();
+        connect(address, call, timeout, response);
+        return response;
+    }
+
     /**
      * Returns the number of calls sent.
      *
--- /dev/null
+++ b/gateway/src/test/java/org/citrontide/gateway/store/PlatformClientTest.java
@@ -0,0 +1,64 @@
+package org.citrontide.gateway.store;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.citrontide.fakes.platform.FakeHttpUpstream;
+import org.citrontide.platform.PlatformCall;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Calls an engine that writes its response to an earlier order once more when the next order arrives. */
+final class PlatformClientTest {
+    private static final Duration TIMEOUT = Duration.ofSeconds(5);
+    private static final int ORDERS = 10;
+
+    @Test
+    void repeatedResponseConfirmsNoOrderOnAConnectionOfItsOwn() throws Exception {
+        MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        Set<Thread> answeredConnections = ConcurrentHashMap.newKeySet();
+        try (FakeHttpUpstream engine = new FakeHttpUpstream("a", (r, reply) -> {
+            if (!answeredConnections.add(Thread.currentThread())) {
+                writeStatus(reply, "202 Accepted");
+            }
+            writeStatus(reply, r.body().contains("prepare") ? "202 Accepted" : "409 Conflict");
+        })) {
+            String entry = engine.entry("svc", "ready");
+            int port = Integer.parseInt(entry.replaceAll(".*127.0.0.1:([0-9]+).*", "$1"));
+            InetSocketAddress address = new InetSocketAddress("127.0.0.1", port);
+            EventLoop loop = loops.next();
+            PlatformClient client = new PlatformClient(loop);
+            for (int i = 0; i < ORDERS; i++) {
+                assertEquals(202, status(loop, () -> client.call(address, order("prepare"), TIMEOUT)));
+                assertEquals(409, status(loop, () -> client.callOnNewConnection(address, order("arm"), TIMEOUT)));
+            }
+        } finally {
+            loops.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+        }
+    }
+
+    private static void writeStatus(FakeHttpUpstream.Reply reply, String status) throws IOException {
+        reply.write("HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n");
+    }
+
+    private static PlatformCall order(String operation) {
+        return new PlatformCall("POST", "/-/order", ("{\"operation\":\"" + operation + "\"}").getBytes());
+    }
+
+    private static int status(EventLoop loop, Supplier<CompletableFuture<PlatformResponse>> call) throws Exception {
+        return CompletableFuture.supplyAsync(call, loop)
+                .thenCompose(f -> f)
+                .get(TIMEOUT.toSeconds(), TimeUnit.SECONDS)
+                .status();
+    }
+}
--- a/gateway/src/test/java/org/citrontide/gateway/store/StoreMirrorTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/store/StoreMirrorTest.java
@@ -63,8 +63,8 @@
     private void startMirror(StoreMirror.Listener listener) {
         EventLoop loop = loops.next();
         InetSocketAddress address = new InetSocketAddress("127.0.0.1", store.port());
-        StoreMirror mirror = new StoreMirror(
-                new PlatformClient(loop), address, List.of(), loop, new SplittableRandom(1), listener);
+        StoreMirror mirror =
+                new StoreMirror(new PlatformClient(loop), address, List.of(), loop, new SplittableRandom(1), listener);
         loop.execute(mirror::start);
     }
 
