--- a/core/src/main/java/org/citrontide/core/expertmap/DemandEstimator.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/DemandEstimator.java
@@ -10,9 +10,9 @@
  * Estimates the demand for each expert from the cumulative selection counts of a few ranks.
  *
  * <p>Demand may shift to other experts every few seconds, while each read of the counts pauses the group. The estimate
- * is an exponentially weighted average of the differences between reads. A read covers so few requests that it may differ
- * from the estimate by chance, so a shift is recognized at once only if the read differs by far more than reads usually
- * do from each other, and otherwise if the next read differs in the same way. Not thread-safe.
+ * is an exponentially weighted average of the differences between reads. A read covers so few requests that it may
+ * differ from the estimate by chance, so a shift is recognized at once only if the read differs by far more than reads
+ * usually do from each other, and otherwise if the next read differs in the same way. Not thread-safe.
  */
 final class DemandEstimator {
     // Weight of a new read while the demand is steady: averages over about three reads, as one covers few requests.
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayAction.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayAction.java
@@ -57,7 +57,7 @@
     record AbortResponse(long request, Verdict verdict) implements GatewayAction {}
 
     /**
-     * Queries the speed of upstreams. An upstream that doesn't respond causes no event.
+     * Queries the speed of upstreams and the state of their groups. An upstream that doesn't respond causes no event.
      *
      * @param upstreams the upstreams to query
      */
@@ -78,6 +78,15 @@
      */
     record ReportGroupState(String service, boolean isDown, int waiting) implements GatewayAction {}
 
+    /**
+     * Reports that one of several groups of a service receives no requests because it lost a member, or receives them
+     * again.
+     *
+     * @param group name of the group, unique among all services
+     * @param isAvailable whether the group receives requests
+     */
+    record ReportGroupAvailability(String group, boolean isAvailable) implements GatewayAction {}
+
     /**
      * Reports that an upstream named another rate limit, or none any more.
      *
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
@@ -39,7 +39,6 @@
     private static final Duration MIN_REMAINING = Duration.ofMillis(20);
     // Pause for a member of a group that is down, while other groups of the service respond.
     private static final Duration OTHER_GROUP_PAUSE = Duration.ofSeconds(1);
-    private static final double NANOS_PER_MS = 1e6;
 
     private final UpstreamRegistry registry = new UpstreamRegistry();
     private final UpstreamSelector selector;
@@ -48,6 +47,7 @@
     private final Map<String, ServiceState> services = new HashMap<>();
     private final SpeedMonitor speedMonitor = new SpeedMonitor();
     private final CrashGuard crashGuard = new CrashGuard();
+    private final GroupHealth groupHealth = new GroupHealth();
     private final Map<Long, OpenGatewayRequest> openById = new HashMap<>();
     private final Map<Long, OpenGatewayRequest> byAttempt = new HashMap<>();
     private final TreeSet<GatewayRequest> byDeadline = new TreeSet<>(
@@ -83,8 +83,9 @@
             case GatewayEvent.ResponseProgress p -> handler.handleResponseProgress(p);
             case GatewayEvent.AttemptEnded e -> handler.handleAttemptEnded(e);
             case GatewayEvent.UpstreamsUpdated u -> registry.replaceAll(u.upstreams(), nowNanos);
-            case GatewayEvent.SpeedReported s ->
-                registry.find(s.upstream()).ifPresent(u -> handler.handleSpeedReported(u, s.slowness()));
+            case GatewayEvent.ReportReceived r ->
+                registry.find(r.upstream()).ifPresent(u -> handler.handleReport(u, r));
+            case GatewayEvent.GroupsUpdated g -> groupHealth.setGroups(g.groupByUpstream());
             case GatewayEvent.HeadReceived h -> handler.handleHeadReceived(h);
             case GatewayEvent.SlotsUpdated u -> selector.setSlots(u.slots());
             case GatewayEvent.UpstreamChecked c -> handler.handleUpstreamChecked(c);
@@ -179,8 +180,7 @@
             if (tryRefuseQuarantined(open)) {
                 return;
             }
-            Optional<UpstreamState> chosen =
-                    selector.select(registry.ofService(request.service()), open.triedIds, nowNanos);
+            Optional<UpstreamState> chosen = select(open);
             if (chosen.isEmpty()) {
                 waitForRateLimit(open, noUpstreamReason);
                 return;
@@ -219,6 +219,7 @@
             }
             if (!attempt.isStarted && progress.isResponseStarted()) {
                 attempt.isStarted = true;
+                attempt.upstream.recordStarted();
                 attempt.startedNanos = nowNanos;
                 service(open).stallDetector.recordFirstEvent(nowNanos - attempt.sentNanos);
             }
@@ -242,10 +243,11 @@
             }
         }
 
-        /** Records the reported speed of an upstream and resumes its streams elsewhere if it became slow. */
-        private void handleSpeedReported(UpstreamState upstream, double slowness) {
+        /** Records the reported state of an upstream and resumes its streams elsewhere if it became slow. */
+        private void handleReport(UpstreamState upstream, GatewayEvent.ReportReceived report) {
+            groupHealth.recordReport(upstream, report.isGroupOpen(), nowNanos);
             List<UpstreamState> all = registry.ofService(upstream.entry().service());
-            if (!speedMonitor.recordSlowness(upstream, slowness, all)) {
+            if (!speedMonitor.recordSlowness(upstream, report.slowness(), all)) {
                 return;
             }
             for (OpenGatewayRequest open : List.copyOf(openById.values())) {
@@ -301,25 +303,16 @@
             }
             OpenGatewayRequest.Attempt attempt = open.attempt.orElseThrow();
             open.attempt = Optional.empty();
-            attempt.upstream.recordAttemptEnded();
+            attempt.upstream.recordAttemptEnded(attempt.isStarted);
             queue(open).recordSettled(attempt);
-            AttemptOutcome outcome = effectiveOutcome(open, attempt, ended.outcome());
+            AttemptOutcome outcome = open.effectiveOutcome(attempt, ended.outcome());
             recordOutcome(open, attempt, outcome);
             resolve(open, attempt, outcome);
             sendWaiting(queue(open));
         }
 
-        /** Returns the outcome, or that the response is broken if it doesn't continue the one that has started. */
-        private static AttemptOutcome effectiveOutcome(
-                OpenGatewayRequest open, OpenGatewayRequest.Attempt attempt, AttemptOutcome outcome) {
-            boolean continuesResponse =
-                    outcome instanceof AttemptOutcome.Completed c && c.isSuccess() && attempt.isStarted;
-            return open.isResponseStarted && outcome instanceof AttemptOutcome.Completed && !continuesResponse
-                    ? new AttemptOutcome.Broken(Reason.ANSWER_BROKEN)
-                    : outcome;
-        }
-
         private void recordResponse(OpenGatewayRequest.Attempt attempt) {
+            groupHealth.recordResponse(attempt.upstream, attempt.sentNanos);
             String service = attempt.upstream.entry().service();
             if (service(service).queue.recordResponse(attempt.sentNanos, nowNanos)) {
                 reportGroupState(service);
@@ -333,18 +326,12 @@
 
         private void recordOutcome(
                 OpenGatewayRequest open, OpenGatewayRequest.Attempt attempt, AttemptOutcome outcome) {
-            switch (outcome) {
-                case AttemptOutcome.Completed c -> {
-                    if (c.isSuccess()) {
-                        crashGuard.recordAnswer(open.request, attempt, nowNanos, actions);
-                    }
-                    attempt.upstream.recordSuccess((nowNanos - attempt.sentNanos) / NANOS_PER_MS, nowNanos);
-                    recordResponse(attempt);
+            attempt.upstream.recordOutcome(outcome, attempt.sentNanos, nowNanos);
+            if (outcome instanceof AttemptOutcome.Completed c) {
+                if (c.isSuccess()) {
+                    crashGuard.recordAnswer(open.request, attempt, nowNanos, actions);
                 }
-                case AttemptOutcome.Failed f -> attempt.upstream.recordFailure(nowNanos);
-                case AttemptOutcome.Broken b -> attempt.upstream.recordFailure(nowNanos);
-                case AttemptOutcome.Unreached u -> attempt.upstream.recordUnreachable(nowNanos);
-                case AttemptOutcome.Rejected r -> attempt.upstream.recordRejection(r.cause(), nowNanos);
+                recordResponse(attempt);
             }
         }
 
@@ -380,7 +367,9 @@
         }
 
         private void resolveBroken(OpenGatewayRequest open, Reason reason) {
-            if (open.request.route().isRetryable() && !isStartedAndGroupDown(open)) {
+            // A caller whose response has started doesn't wait until its group recovers.
+            boolean isWaitFutile = open.isResponseStarted && queue(open).isDown();
+            if (open.request.route().isRetryable() && !isWaitFutile) {
                 retryOrFail(open, reason);
             } else {
                 fail(open, reason);
@@ -389,8 +378,15 @@
 
         /** Queues a request until its group recovers, or retries it if another group of the service responds. */
         private void handleGroupBroken(OpenGatewayRequest open, OpenGatewayRequest.Attempt attempt) {
-            if (registry.hasOtherActive(attempt.upstream, nowNanos)) {
-                attempt.upstream.pause(OTHER_GROUP_PAUSE.toNanos(), nowNanos);
+            UpstreamState member = attempt.upstream;
+            List<UpstreamState> all = registry.ofService(open.request.service());
+            if (groupHealth.isGroupActive(member, all, nowNanos)) {
+                member.pause(OTHER_GROUP_PAUSE.toNanos(), nowNanos);
+                retryOrFail(open, Reason.NO_UPSTREAM);
+                return;
+            }
+            groupHealth.recordRejection(member, nowNanos);
+            if (groupHealth.hasOtherGroup(member, all, nowNanos)) {
                 retryOrFail(open, Reason.NO_UPSTREAM);
                 return;
             }
@@ -400,16 +396,15 @@
             waitOrFail(open);
         }
 
-        /** Returns whether the response has started and its group is down: the caller won't wait for a recovery. */
-        private boolean isStartedAndGroupDown(OpenGatewayRequest open) {
-            return open.isResponseStarted && queue(open).isDown();
-        }
-
         private boolean canRetry(OpenGatewayRequest open) {
             return open.attemptCount < open.request.route().maxAttempts()
                     && nowNanos + MIN_REMAINING.toNanos() < open.request.deadlineNanos()
-                    && selector.select(registry.ofService(open.request.service()), open.triedIds, nowNanos)
-                            .isPresent();
+                    && select(open).isPresent();
+        }
+
+        private Optional<UpstreamState> select(OpenGatewayRequest open) {
+            List<UpstreamState> all = registry.ofService(open.request.service());
+            return selector.select(groupHealth.selectable(all, nowNanos), open.triedIds, nowNanos);
         }
 
         private boolean tryRetry(OpenGatewayRequest open) {
@@ -436,10 +431,7 @@
         /** Ends a request with the given verdict, or with one that says so if an earlier attempt may have run. */
         private void end(OpenGatewayRequest open, Verdict.NotRun notRun) {
             close(open);
-            Reason reason = notRun.reason();
-            Verdict verdict = open.mayHaveRunReason.isPresent()
-                    ? new Verdict.MayHaveRun(reason == Reason.DEADLINE ? reason : open.mayHaveRunReason.get())
-                    : notRun;
+            Verdict verdict = open.finalVerdict(notRun);
             actions.add(
                     open.isResponseStarted
                             ? new GatewayAction.AbortResponse(open.request.id(), verdict)
@@ -452,7 +444,7 @@
             queue(open).remove(open);
             open.attempt.ifPresent(attempt -> {
                 byAttempt.remove(attempt.number);
-                attempt.upstream.recordAttemptEnded();
+                attempt.upstream.recordAttemptEnded(attempt.isStarted);
                 queue(open).recordSettled(attempt);
                 actions.add(new GatewayAction.CancelAttempt(attempt.number));
             });
@@ -470,6 +462,7 @@
                 }
             }
             services.values().forEach(s -> tick(s.queue));
+            actions.addAll(groupHealth.tick(registry, nowNanos));
             crashGuard.tick(nowNanos, actions);
         }
 
@@ -489,9 +482,8 @@
                 return false;
             }
             OpenGatewayRequest.Attempt attempt = open.attempt.get();
-            long silentNanos = nowNanos - Math.max(attempt.progressNanos, attempt.upstream.lastProgressNanos());
-            Duration timeout = service(open).stallTimeout(open.request.route(), attempt);
-            return silentNanos >= timeout.toNanos() && registry.hasOtherActive(attempt.upstream, nowNanos);
+            return service(open).isSilentForTooLong(open.request.route(), attempt, nowNanos)
+                    && registry.hasOtherActive(attempt.upstream, nowNanos);
         }
 
         private void retryElsewhere(OpenGatewayRequest open) {
@@ -500,7 +492,7 @@
             }
             OpenGatewayRequest.Attempt attempt = open.attempt.orElseThrow();
             byAttempt.remove(attempt.number);
-            attempt.upstream.recordAttemptEnded();
+            attempt.upstream.recordAttemptEnded(attempt.isStarted);
             queue(open).recordSettled(attempt);
             open.attempt = Optional.empty();
             open.mayHaveRunReason = Optional.of(Reason.CONNECTION_LOST);
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayEvent.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayEvent.java
@@ -1,6 +1,7 @@
 package org.citrontide.core.gateway;
 
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalDouble;
 
 import org.citrontide.core.quarantine.CrashEvidence;
@@ -68,12 +69,26 @@
     }
 
     /**
-     * An upstream reported its speed.
+     * An upstream reported its state.
      *
      * @param upstream identity of the upstream
      * @param slowness duration of its work relative to a healthy upstream, 1 or more
+     * @param isGroupOpen whether its group has all members and serves requests
      */
-    record SpeedReported(String upstream, double slowness) implements GatewayEvent {}
+    record ReportReceived(String upstream, double slowness, boolean isGroupOpen) implements GatewayEvent {}
+
+    /**
+     * The groups of the upstreams changed.
+     *
+     * @param groupByUpstream name of the group, unique among all services, by the identity of the upstream
+     */
+    record GroupsUpdated(Map<String, String> groupByUpstream) implements GatewayEvent {
+
+        /** Copies the map. */
+        public GroupsUpdated {
+            groupByUpstream = Map.copyOf(groupByUpstream);
+        }
+    }
 
     /**
      * An upstream was checked for a crash.
--- a/core/src/main/java/org/citrontide/core/gateway/OpenGatewayRequest.java
+++ b/core/src/main/java/org/citrontide/core/gateway/OpenGatewayRequest.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 
 import org.citrontide.core.verdict.Reason;
+import org.citrontide.core.verdict.Verdict;
 
 /**
  * A request without a final outcome.
@@ -59,4 +60,20 @@
     OpenGatewayRequest(GatewayRequest request) {
         this.request = request;
     }
+
+    /** Returns the verdict, or one that says so if an earlier attempt may have run. */
+    Verdict finalVerdict(Verdict.NotRun notRun) {
+        if (mayHaveRunReason.isEmpty()) {
+            return notRun;
+        }
+        return new Verdict.MayHaveRun(notRun.reason() == Reason.DEADLINE ? Reason.DEADLINE : mayHaveRunReason.get());
+    }
+
+    /** Returns the outcome, or that the response is broken if it doesn't continue the one that has started. */
+    AttemptOutcome effectiveOutcome(Attempt ended, AttemptOutcome outcome) {
+        boolean continuesResponse = outcome instanceof AttemptOutcome.Completed c && c.isSuccess() && ended.isStarted;
+        return isResponseStarted && outcome instanceof AttemptOutcome.Completed && !continuesResponse
+                ? new AttemptOutcome.Broken(Reason.ANSWER_BROKEN)
+                : outcome;
+    }
 }
--- a/core/src/main/java/org/citrontide/core/gateway/ServiceState.java
+++ b/core/src/main/java/org/citrontide/core/gateway/ServiceState.java
@@ -17,8 +17,13 @@
         this.retryBudget = retryBudget;
     }
 
-    /** Returns the time without bytes after which an attempt is considered lost. */
-    Duration stallTimeout(Route route, OpenGatewayRequest.Attempt attempt) {
+    /** Returns whether an attempt has been without bytes for so long that it is considered lost. */
+    boolean isSilentForTooLong(Route route, OpenGatewayRequest.Attempt attempt, long nowNanos) {
+        long silentNanos = nowNanos - Math.max(attempt.progressNanos, attempt.upstream.lastProgressNanos());
+        return silentNanos >= stallTimeout(route, attempt).toNanos();
+    }
+
+    private Duration stallTimeout(Route route, OpenGatewayRequest.Attempt attempt) {
         return route.isStreaming()
                 ? stallDetector.timeout(attempt.isStarted)
                 : route.target().multipliedBy(STALL_TARGET_MULTIPLE);
--- a/core/src/main/java/org/citrontide/core/gateway/UpstreamRegistry.java
+++ b/core/src/main/java/org/citrontide/core/gateway/UpstreamRegistry.java
@@ -1,6 +1,5 @@
 package org.citrontide.core.gateway;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -19,8 +18,6 @@
  * thread-safe.
  */
 public final class UpstreamRegistry {
-    private static final Duration ACTIVITY_WINDOW = Duration.ofMillis(300);
-
     private final Map<String, UpstreamState> byId = new TreeMap<>();
     private final Map<String, List<UpstreamState>> byService = new HashMap<>();
 
@@ -67,8 +64,7 @@
      * @return true if a response of another upstream made progress recently
      */
     public boolean hasOtherActive(UpstreamState except, long nowNanos) {
-        return ofService(except.entry().service()).stream()
-                .anyMatch(u -> u != except && nowNanos - u.lastProgressNanos() < ACTIVITY_WINDOW.toNanos());
+        return ofService(except.entry().service()).stream().anyMatch(u -> u != except && u.isActive(nowNanos));
     }
 
     /**
--- a/core/src/main/java/org/citrontide/core/gateway/UpstreamState.java
+++ b/core/src/main/java/org/citrontide/core/gateway/UpstreamState.java
@@ -16,8 +16,10 @@
     // Weight of a new sample in the moving averages, which cover about the last ten attempts.
     private static final double SAMPLE_WEIGHT = 0.2;
     private static final double MIN_HEALTH = 0.05;
+    private static final double NANOS_PER_MS = 1e6;
     // An upstream without failures has full health again after a few multiples of this time.
     private static final long HEALTH_RECOVERY_NANOS = Duration.ofSeconds(3).toNanos();
+    private static final long ACTIVITY_WINDOW_NANOS = Duration.ofMillis(300).toNanos();
     private static final long FIRST_PAUSE_NANOS = Duration.ofMillis(500).toNanos();
     private static final int MAX_DOUBLINGS = 3;
     // About the duration of one response of a plain service.
@@ -31,6 +33,7 @@
 
     private ListedUpstream entry;
     private int inFlight;
+    private int started;
     private int consecutiveUnreachable;
     private long pausedUntilNanos;
     private boolean hasPause;
@@ -133,6 +136,11 @@
         return Math.min(1, Math.max(MIN_HEALTH, health + recoveredFraction * (1 - health)));
     }
 
+    /** Returns whether a response made progress recently. */
+    boolean isActive(long nowNanos) {
+        return nowNanos - lastProgressNanos < ACTIVITY_WINDOW_NANOS;
+    }
+
     long lastProgressNanos() {
         return lastProgressNanos;
     }
@@ -151,8 +159,30 @@
         consecutiveUnreachable = 0;
     }
 
-    void recordAttemptEnded() {
+    /** Records that an attempt has delivered the first part of its response. */
+    void recordStarted() {
+        started++;
+    }
+
+    void recordAttemptEnded(boolean wasStarted) {
         inFlight--;
+        started -= wasStarted ? 1 : 0;
+    }
+
+    /** Returns whether an attempt in flight has delivered a part of its response. */
+    boolean hasStartedStreams() {
+        return started > 0;
+    }
+
+    /** Records the outcome of an attempt that was sent at the given time. */
+    void recordOutcome(AttemptOutcome outcome, long sentNanos, long nowNanos) {
+        switch (outcome) {
+            case AttemptOutcome.Completed c -> recordSuccess((nowNanos - sentNanos) / NANOS_PER_MS, nowNanos);
+            case AttemptOutcome.Failed f -> recordFailure(nowNanos);
+            case AttemptOutcome.Broken b -> recordFailure(nowNanos);
+            case AttemptOutcome.Unreached u -> recordUnreachable(nowNanos);
+            case AttemptOutcome.Rejected r -> recordRejection(r.cause(), nowNanos);
+        }
     }
 
     void recordSuccess(double millis, long nowNanos) {
--- a/core/src/test/java/org/citrontide/core/gateway/CrashingPromptSimulation.java
+++ b/core/src/test/java/org/citrontide/core/gateway/CrashingPromptSimulation.java
@@ -266,6 +266,9 @@
                 case GatewayAction.QuerySpeeds q -> {
                     // All upstreams have the same speed.
                 }
+                case GatewayAction.ReportGroupAvailability a -> {
+                    // Not checked here.
+                }
                 case GatewayAction.ReportGroupState n -> {
                     // Affects only the log.
                 }
--- a/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherFaultTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherFaultTest.java
@@ -203,7 +203,7 @@
         }
 
         private void reportSpeed(String upstream) {
-            handle(new GatewayEvent.SpeedReported(upstream, random.nextInt(3) == 0 ? 4 : 1));
+            handle(new GatewayEvent.ReportReceived(upstream, random.nextInt(3) == 0 ? 4 : 1, true));
         }
 
         private AttemptOutcome outcome() {
@@ -227,6 +227,9 @@
                     case GatewayAction.AbortResponse b -> checkEnd(b.request());
                     case GatewayAction.RefuseRequest r -> checkRefusal(r);
                     case GatewayAction.QuerySpeeds a -> a.upstreams().forEach(u -> reportSpeed(u.id()));
+                    case GatewayAction.ReportGroupAvailability a -> {
+                        // Not checked here.
+                    }
                     case GatewayAction.ReportGroupState n -> groupStateChanges++;
                     case GatewayAction.ReportRateLimit l -> throw new AssertionError("no upstream has named a limit");
                     case GatewayAction.CheckUpstream c -> pendingChecks.add(c.upstream());
--- a/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherTest.java
@@ -250,7 +250,7 @@
         GatewayAction.QuerySpeeds query = assertInstanceOf(GatewayAction.QuerySpeeds.class, only(actions));
         assertEquals(3, query.upstreams().size());
         String slow = first.upstream().id();
-        List<GatewayAction> out = handle(new GatewayEvent.SpeedReported(slow, 4));
+        List<GatewayAction> out = handle(new GatewayEvent.ReportReceived(slow, 4, true));
         assertEquals(new GatewayAction.CancelAttempt(first.attempt()), out.getFirst());
         assertNotEquals(
                 slow,
@@ -262,7 +262,7 @@
                     slow,
                     send(arrive(id, Route.RetrySafety.RESUMABLE)).upstream().id());
         }
-        handle(new GatewayEvent.SpeedReported(slow, 1));
+        handle(new GatewayEvent.ReportReceived(slow, 1, true));
         assertEquals(
                 slow, send(arrive(9, Route.RetrySafety.RESUMABLE)).upstream().id());
     }
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
@@ -18,6 +18,7 @@
 import org.citrontide.gateway.maps.MapControllerShell;
 import org.citrontide.gateway.store.CrashEvidenceStore;
 import org.citrontide.gateway.store.GatewayRegistration;
+import org.citrontide.gateway.store.GroupStore;
 import org.citrontide.gateway.store.LeaderElection;
 import org.citrontide.gateway.store.PlatformClient;
 import org.citrontide.gateway.store.StoreMirror;
@@ -45,6 +46,7 @@
     private final MapControllerShell mapControllers;
     private final RetrySlackShare slackShare;
     private final CrashEvidenceStore crashEvidence;
+    private final GroupStore groups;
     private final GatewayRoster roster;
     private List<String> registeredVms = List.of();
     private long rosterUpdateNanos;
@@ -68,6 +70,7 @@
         this.crashEvidence = new CrashEvidenceStore(
                 client, settings.storeAddress(), settings.peers(), loop, settings.vm(), shell::updateCrashEvidence);
         shell.setCrashEvidence(crashEvidence);
+        this.groups = new GroupStore(client, settings.storeAddress());
         CandidacyDelay candidacyDelay = new CandidacyDelay(settings.linkMegabitsPerSecond(), random);
         this.leaderElection =
                 new LeaderElection(client, settings.storeAddress(), loop, candidacyDelay, settings.vm(), this);
@@ -132,6 +135,12 @@
         crashEvidence.updateShared(items);
     }
 
+    @Override
+    public void groupsUpdated(List<MetadataStore.Item> items) {
+        groups.updateShared(items);
+        shell.updateGroups(groups.groupByUpstream());
+    }
+
     @Override
     public void elected(long term) {
         isLeader = true;
@@ -154,6 +163,9 @@
         leaderElection.checkLease();
         mapControllers.tick();
         isHolding = mapControllers.isHolding();
+        if (isLeader) {
+            mapControllers.groups().forEach(groups::publish);
+        }
         if (!registeredVms.isEmpty() && System.nanoTime() - rosterUpdateNanos > ROSTER_INTERVAL.toNanos()) {
             updateRoster();
         }
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
@@ -140,6 +140,15 @@
         handle(new GatewayEvent.UpstreamsUpdated(upstreams));
     }
 
+    /**
+     * Updates the groups of the upstreams.
+     *
+     * @param groupByUpstream name of the group, unique among all services, by the identity of the upstream
+     */
+    public void updateGroups(Map<String, String> groupByUpstream) {
+        handle(new GatewayEvent.GroupsUpdated(groupByUpstream));
+    }
+
     /**
      * Sets when this gateway may send to upstreams with a rate limit.
      *
@@ -315,6 +324,7 @@
                 case GatewayAction.AbortResponse b -> abortResponse(b);
                 case GatewayAction.QuerySpeeds a -> a.upstreams().forEach(this::querySpeed);
                 case GatewayAction.ReportGroupState n -> log.logGroupState(n);
+                case GatewayAction.ReportGroupAvailability a -> log.logGroupAvailability(a);
                 case GatewayAction.ReportRateLimit l -> log.logRateLimit(l);
                 case GatewayAction.CheckUpstream c ->
                     checker.check(
@@ -367,7 +377,7 @@
         if (Math.abs(report.slowness() - previous) > MIN_LOGGED_SLOWNESS_CHANGE) {
             log.logSpeedChange(upstream.id(), previous, report.slowness());
         }
-        handle(new GatewayEvent.SpeedReported(upstream.id(), report.slowness()));
+        handle(new GatewayEvent.ReportReceived(upstream.id(), report.slowness(), report.isOpen()));
     }
 
     private void cancelAttempt(long attempt) {
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/RequestLog.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/RequestLog.java
@@ -116,6 +116,12 @@
                 .write();
     }
 
+    void logGroupAvailability(GatewayAction.ReportGroupAvailability change) {
+        LOG.info(change.isAvailable() ? "group-available" : "group-unavailable")
+                .with("group", change.group())
+                .write();
+    }
+
     void logCrash(CrashEvidence.Crash crash) {
         LOG.info("upstream-crashed")
                 .with("upstream", crash.upstream())
--- a/gateway/src/main/java/org/citrontide/gateway/maps/MapControllerShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/maps/MapControllerShell.java
@@ -135,6 +135,17 @@
         return controllers.values().stream().anyMatch(ServiceMapController::isHolding);
     }
 
+    /**
+     * Returns the groups of the upstreams.
+     *
+     * @return identities of the members by the name of the group, by the name of the service
+     */
+    public Map<String, Map<String, List<String>>> groups() {
+        Map<String, Map<String, List<String>>> groups = new HashMap<>();
+        controllers.forEach((service, c) -> groups.put(service, c.groups()));
+        return groups;
+    }
+
     private void ensureController(String service, EngineProfile profile) {
         if (profile.equals(profiles.put(service, profile))) {
             return;
--- a/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
@@ -92,6 +92,13 @@
          * @param items all items with evidence
          */
         void crashEvidenceUpdated(List<Item> items);
+
+        /**
+         * Called when the groups of the upstreams were read or changed.
+         *
+         * @param items all items with groups
+         */
+        void groupsUpdated(List<Item> items);
     }
 
     private final PlatformClient client;
@@ -236,7 +243,8 @@
         membership.replaceAll(upstreams, System.nanoTime());
         membership.expire(System.nanoTime());
         notifyListener("gateways", () -> listener.gatewaysUpdated(gateways()));
-        notifyListener("crash-evidence", () -> listener.crashEvidenceUpdated(crashEvidence()));
+        notifyListener("crash-evidence", () -> listener.crashEvidenceUpdated(copies(CrashEvidenceStore.PREFIX)));
+        notifyListener("groups", () -> listener.groupsUpdated(copies(GroupStore.PREFIX)));
         boolean isLeaderKeyHeld = items.stream().anyMatch(i -> i.key().equals(LeaderElection.LEADER_KEY));
         notifyListener("leader-key", () -> listener.leaderKeyUpdated(isLeaderKeyHeld));
         notifyListener("upstreams", () -> listener.upstreamsUpdated(membership.upstreams()));
@@ -246,8 +254,12 @@
         callStore(MetadataStore.watch(ALL_KEYS, after, isStoreUnavailable ? Duration.ZERO : WATCH_WAIT), body -> {
             MetadataStore.Changes changes = MetadataStore.decodeChanges(body);
             changes.changes().forEach(this::handleChange);
-            if (changes.changes().stream().anyMatch(c -> c.key().startsWith(CrashEvidenceStore.PREFIX))) {
-                notifyListener("crash-evidence", () -> listener.crashEvidenceUpdated(crashEvidence()));
+            if (hasChange(changes, CrashEvidenceStore.PREFIX)) {
+                notifyListener(
+                        "crash-evidence", () -> listener.crashEvidenceUpdated(copies(CrashEvidenceStore.PREFIX)));
+            }
+            if (hasChange(changes, GroupStore.PREFIX)) {
+                notifyListener("groups", () -> listener.groupsUpdated(copies(GroupStore.PREFIX)));
             }
             boolean hasExpired = membership.expire(System.nanoTime());
             if (hasExpired || !changes.changes().isEmpty()) {
@@ -262,7 +274,8 @@
         if (i.key().equals(ConfigurationDecoder.KEY)
                 || i.key().startsWith(UpstreamDecoder.KEY_PREFIX)
                 || i.key().startsWith(GatewayRegistration.PREFIX)
-                || i.key().startsWith(CrashEvidenceStore.PREFIX)) {
+                || i.key().startsWith(CrashEvidenceStore.PREFIX)
+                || i.key().startsWith(GroupStore.PREFIX)) {
             copy.put(i.key(), i);
         }
     }
@@ -300,10 +313,12 @@
                 .toList();
     }
 
-    private List<Item> crashEvidence() {
-        return copy.values().stream()
-                .filter(i -> i.key().startsWith(CrashEvidenceStore.PREFIX))
-                .toList();
+    private List<Item> copies(String prefix) {
+        return copy.values().stream().filter(i -> i.key().startsWith(prefix)).toList();
+    }
+
+    private static boolean hasChange(MetadataStore.Changes changes, String prefix) {
+        return changes.changes().stream().anyMatch(c -> c.key().startsWith(prefix));
     }
 
     private void logDraining(ListedUpstream u) {
--- a/gateway/src/test/java/org/citrontide/gateway/store/StoreMirrorTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/store/StoreMirrorTest.java
@@ -107,6 +107,11 @@
             throw new IllegalStateException("gateways");
         }
 
+        @Override
+        public void groupsUpdated(List<MetadataStore.Item> items) {
+            throw new IllegalStateException("groups");
+        }
+
         @Override
         public void crashEvidenceUpdated(List<MetadataStore.Item> items) {
             throw new IllegalStateException("crash evidence");
