--- a/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
@@ -453,7 +453,9 @@
 
         private void tick() {
             while (!byDeadline.isEmpty() && byDeadline.first().deadlineNanos() <= nowNanos) {
-                expire(openById.get(byDeadline.first().id()));
+                OpenGatewayRequest expired = openById.get(byDeadline.first().id());
+                expired.attempt.ifPresent(attempt -> expired.mayHaveRunReason = Optional.of(Reason.DEADLINE));
+                fail(expired, Reason.DEADLINE);
             }
             for (OpenGatewayRequest open : List.copyOf(openById.values())) {
                 if (isStalled(open)) {
@@ -471,11 +473,6 @@
             sendWaiting(queue);
         }
 
-        private void expire(OpenGatewayRequest open) {
-            open.attempt.ifPresent(attempt -> open.mayHaveRunReason = Optional.of(Reason.DEADLINE));
-            fail(open, Reason.DEADLINE);
-        }
-
         /** Returns whether a retryable attempt makes no progress while others of its service do. */
         private boolean isStalled(OpenGatewayRequest open) {
             if (open.attempt.isEmpty() || !open.request.route().isRetryable() || !canRetry(open)) {
