--- a/build/protoc.sh
+++ b/build/protoc.sh
@@ -2,7 +2,7 @@
 # Regenerates the committed protobuf classes. Run it manually after a change to citrontide.proto.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-version=4.36.2
+version=4.36.1
 case "$(uname -m)" in
   x86_64|amd64) classifier=linux-x86_64 ;;
   aarch64|arm64) classifier=linux-aarch_64 ;;
