--- a/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
@@ -297,14 +297,12 @@
         }
 
         private void handleAttemptEnded(GatewayEvent.AttemptEnded ended) {
-            OpenGatewayRequest open = byAttempt.remove(ended.attempt());
+            OpenGatewayRequest open = byAttempt.get(ended.attempt());
             if (open == null) {
                 return;
             }
             OpenGatewayRequest.Attempt attempt = open.attempt.orElseThrow();
-            open.attempt = Optional.empty();
-            attempt.upstream.recordAttemptEnded(attempt.isStarted);
-            queue(open).recordSettled(attempt);
+            release(open, attempt);
             AttemptOutcome outcome = open.effectiveOutcome(attempt, ended.outcome());
             recordOutcome(open, attempt, outcome);
             resolve(open, attempt, outcome);
@@ -443,12 +441,16 @@
             byDeadline.remove(open.request);
             queue(open).remove(open);
             open.attempt.ifPresent(attempt -> {
-                byAttempt.remove(attempt.number);
-                attempt.upstream.recordAttemptEnded(attempt.isStarted);
-                queue(open).recordSettled(attempt);
+                release(open, attempt);
                 actions.add(new GatewayAction.CancelAttempt(attempt.number));
             });
+        }
+
+        private void release(OpenGatewayRequest open, OpenGatewayRequest.Attempt attempt) {
+            byAttempt.remove(attempt.number);
             open.attempt = Optional.empty();
+            attempt.upstream.recordAttemptEnded(attempt.isStarted);
+            queue(open).recordSettled(attempt);
         }
 
         private void tick() {
@@ -488,10 +490,7 @@
                 return;
             }
             OpenGatewayRequest.Attempt attempt = open.attempt.orElseThrow();
-            byAttempt.remove(attempt.number);
-            attempt.upstream.recordAttemptEnded(attempt.isStarted);
-            queue(open).recordSettled(attempt);
-            open.attempt = Optional.empty();
+            release(open, attempt);
             open.mayHaveRunReason = Optional.of(Reason.CONNECTION_LOST);
             actions.add(new GatewayAction.CancelAttempt(attempt.number));
             send(open, Reason.CONNECTION_LOST);
