--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayDaemon.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayDaemon.java
@@ -11,9 +11,9 @@
 /**
  * A gateway process: accepts callers' requests and forwards them to upstreams over HTTP.
  *
- * <p>Invariant: a graceful shutdown first reports not ready and keeps serving until the load balancer has noticed, then
- * refuses new requests, and ends once every request in flight has its response or the time limit has passed.
- * Thread-safe.
+ * <p>Invariant: a graceful shutdown first reports not ready and keeps serving until the load balancer has noticed,
+ * then closes idle connections of callers, so that they open others elsewhere, refuses new requests, and ends once
+ * every request in flight has its response or the time limit has passed. Thread-safe.
  */
 public final class GatewayDaemon {
     private static final EventLog LOG = EventLog.of(GatewayDaemon.class);
@@ -74,6 +74,7 @@
             pause();
         }
         component.eventLoops().next().execute(() -> {
+            component.callerServer().closeIdleConnections();
             component.shell().refuseNewRequests();
             component.controlPlane().stop();
         });
--- a/gateway/src/test/java/org/citrontide/gateway/PlannedStopTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/PlannedStopTest.java
@@ -1,10 +1,13 @@
 package org.citrontide.gateway;
 
+import java.time.Duration;
+
 import org.citrontide.fakes.platform.FakeHttpUpstream;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Tests planned stops of a complete gateway. */
 final class PlannedStopTest extends GatewayHarness {
@@ -30,6 +33,27 @@
         }
     }
 
+    @Test
+    void idleConnectionsAreClosedWhenRequestsAreRefusedNotAtTheEndOfAPlannedStop() throws Exception {
+        FakeHttpUpstream u = addUpstream("a", (r, reply) -> {
+            pause(r.requestLine().contains("long") ? 6000 : 0);
+            reply.writeResponse("200 OK", "ran");
+        });
+        try (RawCaller busy = new RawCaller(callerPort);
+                RawCaller idle = new RawCaller(callerPort)) {
+            busy.write("POST /book/long HTTP/1.1\r\nHost: h.example\r\nCitrontide-Attempt-Id: id-1\r\n"
+                    + "Authorization: Bearer key-1\r\nContent-Length: 0\r\n\r\n");
+            await("the request arrives", () -> u.requests().size() == 1);
+            assertEquals(200, requestStatus(idle, "/look/"));
+            long stopNanos = System.nanoTime();
+            Thread stopper = Thread.ofVirtual().start(daemon::stop);
+            assertEquals("", idle.readToEnd());
+            long ms = Duration.ofNanos(System.nanoTime() - stopNanos).toMillis();
+            assertTrue(ms > 3000 && ms < 3700, "closed after " + ms + " ms");
+            stopper.join();
+        }
+    }
+
     @Test
     void aRequestLateInAPlannedStopIsRefusedAsNotRun() throws Exception {
         FakeHttpUpstream u = addUpstream("a", (r, reply) -> {
