--- a/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
@@ -66,7 +66,8 @@
         this.loop = loop;
         this.shell = shell;
         PlatformClient client = new PlatformClient(loop);
-        this.mirror = new StoreMirror(client, settings.storeAddress(), settings.peers(), loop, random, this);
+        this.mirror = new StoreMirror(
+                client, settings.storeAddress(), settings.peers(), settings.changeLimit(), loop, random, this);
         this.crashEvidence = new CrashEvidenceStore(
                 client, settings.storeAddress(), settings.peers(), loop, settings.vm(), shell::updateCrashEvidence);
         shell.setCrashEvidence(crashEvidence);
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewaySettings.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewaySettings.java
@@ -22,6 +22,7 @@
  * @param maxConnections maximum number of connections of callers
  * @param linkMegabitsPerSecond rate of the VM's link in Mbit/s, on which the timeouts of large orders depend
  * @param stopLimit maximum time that a graceful shutdown waits for requests in flight
+ * @param changeLimit time within which a change in the store must be in force here
  * @param retryRatio retries allowed per request of a service
  * @param retryWindow length of the sliding window over which requests and retries are counted
  * @param retrySlack retries per window allowed to all gateways together, regardless of the number of requests
@@ -38,6 +39,7 @@
         int maxConnections,
         double linkMegabitsPerSecond,
         Duration stopLimit,
+        Duration changeLimit,
         double retryRatio,
         Duration retryWindow,
         int retrySlack,
@@ -49,6 +51,9 @@
     private static final double DEFAULT_LINK_MBPS = 100;
     private static final int MAX_STOP_MS = 3_600_000;
     private static final int DEFAULT_STOP_MS = 8000;
+    private static final int MIN_CHANGE_MS = 1000;
+    private static final int MAX_CHANGE_MS = 60_000;
+    private static final int DEFAULT_CHANGE_MS = 2000;
     private static final double DEFAULT_RATIO = 0.2;
     private static final int MAX_WINDOW_MS = 600_000;
     private static final int DEFAULT_WINDOW_MS = 10_000;
@@ -83,11 +88,26 @@
         int connections = root.integer("max_connections", 1, MAX_CONNECTIONS, DEFAULT_CONNECTIONS);
         double link = root.decimal("link_mbps", MIN_LINK_MBPS, MAX_LINK_MBPS, DEFAULT_LINK_MBPS);
         Duration stop = root.milliseconds("stop_limit_ms", 0, MAX_STOP_MS, DEFAULT_STOP_MS);
+        Duration change = root.milliseconds("change_limit_ms", MIN_CHANGE_MS, MAX_CHANGE_MS, DEFAULT_CHANGE_MS);
         double ratio = root.decimal("repeat_ratio", 0, 1, DEFAULT_RATIO);
         Duration window = root.milliseconds("repeat_window_ms", 1, MAX_WINDOW_MS, DEFAULT_WINDOW_MS);
         int slack = root.integer("repeat_slack", 0, MAX_SLACK, DEFAULT_SLACK);
         int labels = root.integer("max_team_labels", 0, MAX_LABELS, DEFAULT_LABELS);
         return root.finish(() -> new GatewaySettings(
-                vm, zone, caller, admin, store, peer, peers, connections, link, stop, ratio, window, slack, labels));
+                vm,
+                zone,
+                caller,
+                admin,
+                store,
+                peer,
+                peers,
+                connections,
+                link,
+                stop,
+                change,
+                ratio,
+                window,
+                slack,
+                labels));
     }
 }
--- a/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
@@ -37,9 +37,11 @@
 public final class StoreMirror {
     private static final EventLog LOG = EventLog.of(StoreMirror.class);
     private static final String ALL_KEYS = "";
-    // A watch returns as soon as any key changes, and heartbeats change keys all the time: with this pause between the
-    // calls, one response carries all changes.
-    private static final Duration WATCH_PAUSE = Duration.ofMillis(750);
+    // A watch returns as soon as any key changes, and heartbeats change keys all the time: with a pause between the
+    // calls, one response carries many changes. The rest of the limit is left for slow and repeated calls.
+    private static final double WATCH_PAUSE_FRACTION = 0.375;
+    // With a longer pause, a single failed call would pass for an outage of the store.
+    private static final Duration MAX_WATCH_PAUSE = Duration.ofMillis(1200);
     private static final Duration WATCH_WAIT = Duration.ofMillis(1000);
     // Longer than the wait plus a slow response; a connection that is silent for this long is abandoned.
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(1800);
@@ -110,6 +112,7 @@
     private final Set<String> loggedOnce = new HashSet<>();
     private final Map<String, Item> copy = new TreeMap<>();
     private final List<InetSocketAddress> peers;
+    private final Duration watchPause;
     private int consecutiveFailures;
     private Optional<Long> revision = Optional.empty();
     private long version;
@@ -122,6 +125,7 @@
      * @param client client for the calls to the store and to peers
      * @param store address of the store
      * @param peers addresses of the gateways whose copies are read while the store is unavailable to this one
+     * @param changeLimit time within which a change must be passed on
      * @param loop event loop that runs all calls and timers
      * @param random source of the jitter that spreads the retries of many processes
      * @param listener listener for changes
@@ -130,12 +134,14 @@
             PlatformClient client,
             InetSocketAddress store,
             List<InetSocketAddress> peers,
+            Duration changeLimit,
             EventLoop loop,
             RandomGenerator random,
             Listener listener) {
         this.client = client;
         this.store = store;
         this.peers = List.copyOf(peers);
+        this.watchPause = watchPause(changeLimit);
         this.loop = loop;
         this.random = random;
         this.listener = listener;
@@ -166,6 +172,12 @@
         return revision.filter(r -> isFresh).map(r -> MetadataStore.encodePage(copy.values(), r));
     }
 
+    /** Returns the pause between two watches that leaves enough of the limit for changes. */
+    static Duration watchPause(Duration changeLimit) {
+        Duration pause = Duration.ofNanos((long) (WATCH_PAUSE_FRACTION * changeLimit.toNanos()));
+        return pause.compareTo(MAX_WATCH_PAUSE) < 0 ? pause : MAX_WATCH_PAUSE;
+    }
+
     private void readOrWatch() {
         if (revision.isEmpty()) {
             readAll("", new ArrayList<>());
@@ -188,7 +200,7 @@
                     .with("revision", page.revision())
                     .with("upstreams", membership.upstreams().size())
                     .write();
-            schedule(WATCH_PAUSE);
+            schedule(watchPause);
         });
     }
 
@@ -266,7 +278,7 @@
                 notifyListener("upstreams", () -> listener.upstreamsUpdated(membership.upstreams()));
             }
             revision = Optional.of(Math.max(after, changes.revision()));
-            schedule(WATCH_PAUSE);
+            schedule(watchPause);
         });
     }
 
--- a/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
@@ -67,6 +67,7 @@
                         100,
                         LINK_MEGABITS_PER_SECOND,
                         Duration.ofSeconds(8),
+                        Duration.ofSeconds(2),
                         0.2,
                         Duration.ofSeconds(10),
                         600,
--- a/gateway/src/test/java/org/citrontide/gateway/store/StoreMirrorTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/store/StoreMirrorTest.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -21,6 +22,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Runs a mirror of a fake store whose listener fails unexpectedly. */
@@ -60,11 +62,24 @@
         }
     }
 
+    @Test
+    void pauseBetweenWatchesLeavesMostOfTheLimitAndIsNoOutage() {
+        assertEquals(Duration.ofMillis(750), StoreMirror.watchPause(Duration.ofSeconds(2)));
+        assertEquals(Duration.ofMillis(1125), StoreMirror.watchPause(Duration.ofSeconds(3)));
+        assertEquals(Duration.ofMillis(1200), StoreMirror.watchPause(Duration.ofSeconds(4)));
+    }
+
     private void startMirror(StoreMirror.Listener listener) {
         EventLoop loop = loops.next();
         InetSocketAddress address = new InetSocketAddress("127.0.0.1", store.port());
-        StoreMirror mirror =
-                new StoreMirror(new PlatformClient(loop), address, List.of(), loop, new SplittableRandom(1), listener);
+        StoreMirror mirror = new StoreMirror(
+                new PlatformClient(loop),
+                address,
+                List.of(),
+                Duration.ofSeconds(2),
+                loop,
+                new SplittableRandom(1),
+                listener);
         loop.execute(mirror::start);
     }
 
