Review case 1: a booking runs twice after additional bytes of a worker

With the beginning of a refusal as the additional bytes, the next booking's answer is taken for a refusal, and the booking is sent to a second worker.

--- a/review/src/org/citrontide/review/ExtraBytes.java
+++ b/review/src/org/citrontide/review/ExtraBytes.java
@@ -1,35 +1,32 @@
 package org.citrontide.review;
 
 import java.io.IOException;
-import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 
 /**
- * Some answers of a worker are followed by additional bytes, the beginning of a second answer that breaks off in its
- * head. The worker fails one request in 250, each the next on a connection with such bytes. Without the trouble there
- * are no additional bytes, and the same share of requests fails.
+ * Some answers of a worker are followed by additional bytes, the beginning of a refusal that breaks off in its head.
+ * Without the trouble there are none.
  */
 final class ExtraBytes {
     private static final int CLIENTS = 4;
     private static final int REQUESTS = 1000;
     private static final int EXTRA_EVERY = 50;
-    private static final int FAILURE_EVERY = 250;
     private static final String DONE = "the turn is booked: north headgate, 05:40 to 06:10. ".repeat(15);
-    private static final String FAILED = "the turn is not booked: the ledger is locked";
-    private static final String EXTRA = "HTTP/1.1 200 OK\r\nContent-Type: text/pl";
+    private static final String EXTRA =
+            "HTTP/1.1 503 Service Unavailable\r\nCitrontide-Not-Executed: 1\r\nRetry-After: 0.";
 
     private final World world;
     private final AtomicReference<String> faulty = new AtomicReference<>();
     private final AtomicInteger answers = new AtomicInteger();
-    private final Set<Socket> failing = ConcurrentHashMap.newKeySet();
-    private final Set<String> failed = ConcurrentHashMap.newKeySet();
-    private final AtomicInteger wrong = new AtomicInteger();
-    private final AtomicInteger failures = new AtomicInteger();
+    private final AtomicInteger extras = new AtomicInteger();
+    private final AtomicInteger refusedAfterRun = new AtomicInteger();
+    private final Map<String, Integer> runs = new ConcurrentHashMap<>();
+    private final Map<Integer, Integer> answersByStatus = new ConcurrentHashMap<>();
 
     private ExtraBytes(World world) {
         this.world = world;
@@ -52,11 +49,13 @@
             clients.add(Thread.ofVirtual().start(() -> client(gateway, n)));
         }
         World.join(clients);
+        long twice = runs.values().stream().filter(n -> n > 1).count();
         world.recordLogs();
         world.record.result(
-                "MIXED: %d of %d requests got a success where the worker had answered with a failure; %d failed",
-                wrong.get(), CLIENTS * REQUESTS, failures.get());
-        return wrong.get() > 0 ? World.BROKEN : World.HELD;
+                "TWICE: %d of %d bookings ran more than once; REFUSED: %d were answered 429 or 503 and had run;"
+                        + " additional bytes %d times; answers by status %s",
+                twice, CLIENTS * REQUESTS, refusedAfterRun.get(), extras.get(), answersByStatus);
+        return twice > 0 ? World.BROKEN : World.HELD;
     }
 
     private void client(Gateway gateway, int n) {
@@ -65,14 +64,10 @@
             try (Caller caller = new Caller(gateway.callerPort, 6000)) {
                 caller.send("POST", "/book/turn", id, 4000, new byte[600], "");
                 Caller.Answer a = caller.read();
-                boolean isSuccess = a.status() / 100 == 2 && a.end() == Caller.End.COMPLETE;
-                boolean isWrong = isSuccess && failed.contains(id);
-                wrong.addAndGet(isWrong ? 1 : 0);
-                failures.addAndGet(isSuccess ? 0 : 1);
-                world.record.line(
-                        "client: %s got %s stamp %s%s",
-                        id, a.text(), a.headers().get("citrontide-response-stamp"),
-                        isWrong ? " WRONG, body '" + new String(a.body()) + "'" : "");
+                answersByStatus.merge(a.status(), 1, Integer::sum);
+                int ran = runs.getOrDefault(id, 0);
+                refusedAfterRun.addAndGet((a.status() == 503 || a.status() == 429) && ran > 0 ? 1 : 0);
+                world.record.line("client: %s got %s, ran %d times%s", id, a.text(), ran, ran > 1 ? " TWICE" : "");
             } catch (IOException e) {
                 world.record.line("client: %s failed: %s", id, e.getMessage());
             }
@@ -81,24 +76,16 @@
 
     private void answer(String id, AtomicInteger count, Worker.Call call) throws IOException {
         call.readBody(Long.MAX_VALUE);
+        runs.merge(call.id(), 1, Integer::sum);
+        world.record.line("worker %s: runs %s", id, call.id());
         World.sleep(5);
-        if (failing.remove(call.socket)) {
-            failed.add(call.id());
-            world.record.line("worker %s: runs %s and fails with 500", id, call.id());
-            call.head("500 Internal Server Error", "Keep-Alive: timeout=30\r\nContent-Length: " + FAILED.length() + "\r\n");
-            call.write(FAILED);
-            return;
-        }
         call.complete(DONE);
         // The first worker that gets so many requests is the faulty one.
         boolean isFaulty = faulty.get() == null
                 ? count.incrementAndGet() == EXTRA_EVERY && faulty.compareAndSet(null, id)
                 : id.equals(faulty.get());
-        int number = isFaulty ? answers.incrementAndGet() : 1;
-        if (number % FAILURE_EVERY == 0) {
-            failing.add(call.socket);
-        }
-        if (number % EXTRA_EVERY == 0 && world.hasTrouble) {
+        if (isFaulty && answers.incrementAndGet() % EXTRA_EVERY == 0 && world.hasTrouble) {
+            extras.incrementAndGet();
             World.sleep(1);
             world.record.line("worker %s: %d additional bytes after the answer to %s", id, EXTRA.length(), call.id());
             call.write(EXTRA);
