--- a/review/src/org/citrontide/review/Store.java
+++ b/review/src/org/citrontide/review/Store.java
@@ -23,10 +23,11 @@
 final class Store implements AutoCloseable {
     private static final int PAGE_ITEMS = 500;
     private static final int PAGE_BYTES = 1_048_576;
+    private static final long HISTORY_NANOS = 20_000_000_000L;
 
     private record Item(String key, byte[] value, long revision, long created, long lease) {}
 
-    private record Event(String key, Item item, long revision) {}
+    private record Event(String key, Item item, long revision, long nanos) {}
 
     private static final class Lease {
         final long ttlMs;
@@ -59,7 +60,7 @@
         server.createContext("/", this::serve);
         server.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
         server.start();
-        Thread.ofVirtual().start(this::expireLeases);
+        Thread.ofVirtual().start(this::expire);
     }
 
     int port() {
@@ -80,18 +81,12 @@
         delete(key);
     }
 
-    synchronized void forgetHistory() {
-        compacted = revision;
-        history.clear();
-        notifyAll();
-    }
-
     private long write(String key, byte[] value, long lease) {
         revision++;
         Item before = items.get(key);
         Item item = new Item(key, value, revision, before == null ? revision : before.created(), lease);
         items.put(key, item);
-        history.add(new Event(key, item, revision));
+        history.add(new Event(key, item, revision, System.nanoTime()));
         notifyAll();
         return revision;
     }
@@ -99,12 +94,12 @@
     private void delete(String key) {
         if (items.remove(key) != null) {
             revision++;
-            history.add(new Event(key, null, revision));
+            history.add(new Event(key, null, revision, System.nanoTime()));
             notifyAll();
         }
     }
 
-    private void expireLeases() {
+    private void expire() {
         while (!isClosed) {
             synchronized (this) {
                 long now = System.nanoTime();
@@ -113,6 +108,9 @@
                         .map(Map.Entry::getKey)
                         .toList()
                         .forEach(this::endLease);
+                while (!history.isEmpty() && now - history.getFirst().nanos() > HISTORY_NANOS) {
+                    compacted = history.removeFirst().revision();
+                }
             }
             World.sleep(20);
         }
--- a/review/src/org/citrontide/review/Worker.java
+++ b/review/src/org/citrontide/review/Worker.java
@@ -91,6 +91,7 @@
     private final Script script;
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private final long bornMs = System.currentTimeMillis();
+    private volatile String state = "ready";
     private long sequence;
 
     Worker(String id, String service, int receiveBuffer, Script script) throws IOException {
@@ -106,13 +107,18 @@
     }
 
     /** Returns the worker's entry in the store. */
-    synchronized String entry(String state) {
+    synchronized String entry() {
         sequence++;
         return "{\"service\":\"" + service + "\",\"address\":\"127.0.0.1:" + listener.getLocalPort()
                 + "\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":8,\"state\":\"" + state
                 + "\",\"cold_remaining_ms\":0,\"sequence\":" + sequence + ",\"born\":" + bornMs + "}";
     }
 
+    /** Reports draining from now on; the worker goes on serving. */
+    void drain() {
+        state = "draining";
+    }
+
     private void accept() {
         while (!listener.isClosed()) {
             try {
--- a/review/src/org/citrontide/review/World.java
+++ b/review/src/org/citrontide/review/World.java
@@ -63,7 +63,7 @@
     Worker worker(String id, String service, int receiveBuffer, Worker.Script script) throws IOException {
         Worker w = new Worker(id, service, receiveBuffer, script);
         workers.add(w);
-        store.put("servers/" + id, w.entry("ready"));
+        store.put("servers/" + id, w.entry());
         return w;
     }
 
@@ -73,14 +73,29 @@
         heartbeats();
     }
 
-    /** Starts a gateway and waits until it is ready. */
+    /** Starts a gateway without peers and waits until it is ready. */
     Gateway readyGateway(String vm) throws IOException {
-        Gateway g = gateway(vm, List.of());
+        Gateway g = new Gateway(vm, folder);
+        startReady(g, List.of());
+        return g;
+    }
+
+    /** Starts two gateways that are each other's peers, and waits until they are ready. */
+    List<Gateway> readyPair() throws IOException {
+        List<Gateway> pair = List.of(new Gateway("front-1", folder), new Gateway("front-2", folder));
+        for (Gateway g : pair) {
+            startReady(g, pair);
+        }
+        return pair;
+    }
+
+    private void startReady(Gateway g, List<Gateway> peers) throws IOException {
+        gateways.add(g);
+        g.start(store.port(), peers);
         if (!g.awaitReady(30_000)) {
             recordLogs();
             throw new IOException("the gateway did not become ready");
         }
-        return g;
     }
 
     static void join(List<Thread> threads) {
@@ -99,19 +114,12 @@
             while (true) {
                 sleep(1200);
                 for (Worker w : List.copyOf(workers)) {
-                    store.put("servers/" + w.id, w.entry("ready"));
+                    store.put("servers/" + w.id, w.entry());
                 }
             }
         });
     }
 
-    Gateway gateway(String vm, List<Gateway> peers) throws IOException {
-        Gateway g = new Gateway(vm, folder);
-        gateways.add(g);
-        g.start(store.port(), peers);
-        return g;
-    }
-
     private void stopGateways() {
         gateways.forEach(Gateway::close);
     }
