--- a/fakes/src/main/java/org/citrontide/fakes/platform/FakeHttpUpstream.java
+++ b/fakes/src/main/java/org/citrontide/fakes/platform/FakeHttpUpstream.java
@@ -5,6 +5,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -19,9 +20,13 @@
  * library would not produce. Thread-safe.
  */
 public final class FakeHttpUpstream implements AutoCloseable {
+    private static final int BACKLOG = 50;
+    private static final int SMALL_RECEIVE_BUFFER = 8 * 1024;
+
     private final ServerSocket socket;
     private final String id;
     private final Script script;
+    private final boolean isReadingBodies;
     private final List<ReceivedRequest> requests = new CopyOnWriteArrayList<>();
     private final List<Socket> connections = new CopyOnWriteArrayList<>();
 
@@ -68,12 +73,33 @@
      * @throws IOException if no port can be bound
      */
     public FakeHttpUpstream(String id, Script script) throws IOException {
+        this(id, script, true, new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress()));
+    }
+
+    private FakeHttpUpstream(String id, Script script, boolean isReadingBodies, ServerSocket socket) {
         this.id = id;
         this.script = script;
-        this.socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        this.isReadingBodies = isReadingBodies;
+        this.socket = socket;
         Thread.ofVirtual().start(this::accept);
     }
 
+    /**
+     * Starts an upstream whose script is called once the head of a request is received, so that it can respond before
+     * it reads the body by {@link Reply#readBody}. Its small receive buffer keeps a large body at the sender.
+     *
+     * @param id identity of the upstream
+     * @param script script that answers the requests, whose bodies are empty
+     * @return the upstream
+     * @throws IOException if no port can be bound
+     */
+    public static FakeHttpUpstream respondingBeforeBody(String id, Script script) throws IOException {
+        ServerSocket socket = new ServerSocket();
+        socket.setReceiveBufferSize(SMALL_RECEIVE_BUFFER);
+        socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), BACKLOG);
+        return new FakeHttpUpstream(id, script, false, socket);
+    }
+
     /**
      * Returns the store entry with which this upstream registers itself.
      *
@@ -126,10 +152,12 @@
     public final class Reply {
         private final Socket connection;
         private final OutputStream out;
+        private final InputStream in;
         private final ReceivedRequest request;
 
-        private Reply(Socket connection, ReceivedRequest request) throws IOException {
+        private Reply(Socket connection, InputStream in, ReceivedRequest request) throws IOException {
             this.connection = connection;
+            this.in = in;
             this.out = connection.getOutputStream();
             this.request = request;
         }
@@ -179,6 +207,25 @@
             write(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
         }
 
+        /**
+         * Reads bytes of a request body that was not read before.
+         *
+         * @param bytes number of bytes to read
+         * @throws IOException if the connection breaks
+         */
+        public void readBody(int bytes) throws IOException {
+            in.skipNBytes(bytes);
+        }
+
+        /**
+         * Ends the output, which the caller reads as an orderly end of the connection, whatever is still unread.
+         *
+         * @throws IOException if the connection breaks
+         */
+        public void endOutput() throws IOException {
+            connection.shutdownOutput();
+        }
+
         /**
          * Resets the connection.
          *
@@ -220,7 +267,7 @@
             while (true) {
                 ReceivedRequest r = readRequest(in);
                 requests.add(r);
-                script.answer(r, new Reply(s, r));
+                script.answer(r, new Reply(s, in, r));
             }
         } catch (IOException e) {
             // The caller or the script closed the connection.
@@ -229,7 +276,7 @@
         }
     }
 
-    private static ReceivedRequest readRequest(InputStream in) throws IOException {
+    private ReceivedRequest readRequest(InputStream in) throws IOException {
         String requestLine = readLine(in);
         Map<String, String> headers = new TreeMap<>();
         for (String h = readLine(in); !h.isEmpty(); h = readLine(in)) {
@@ -238,7 +285,8 @@
                     h.substring(0, colon).toLowerCase(Locale.ROOT),
                     h.substring(colon + 1).trim());
         }
-        byte[] body = in.readNBytes(Integer.parseInt(headers.getOrDefault("content-length", "0")));
+        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+        byte[] body = isReadingBodies ? in.readNBytes(length) : new byte[0];
         return new ReceivedRequest(requestLine, headers, new String(body, StandardCharsets.UTF_8));
     }
 
--- a/gateway/src/main/java/org/citrontide/gateway/store/PlatformClient.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/PlatformClient.java
@@ -21,6 +21,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -38,7 +39,8 @@
  * connections.
  *
  * <p>Invariants: each future completes, at the latest after its timeout; a connection on which a call got no response
- * is not reused. Not thread-safe: confined to the event loop.
+ * is not reused; a response whose end is decoded after the channel was closed is incomplete, because the channel stays
+ * open when the server ends the connection (half-closure). Not thread-safe: confined to the event loop.
  */
 public final class PlatformClient {
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(1000);
@@ -118,6 +120,7 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis())
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel c) {
@@ -190,6 +193,10 @@
                 fail(response, "malformed response");
                 return;
             }
+            if (!ctx.channel().isActive()) {
+                fail(response, "connection lost within the response");
+                return;
+            }
             if (HttpUtil.isKeepAlive(r)) {
                 idleConnections
                         .computeIfAbsent(address, a -> new ArrayDeque<>())
@@ -206,6 +213,13 @@
             fail(pendingResponse, "connection closed");
         }
 
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            if (event instanceof ChannelInputShutdownEvent) {
+                ctx.close();
+            }
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             ctx.close();
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -24,8 +25,9 @@
  *
  * <p>Invariants: a response that echoes the ID of another attempt is skipped; a response without an ID is taken only as
  * the first one of a connection, because a later one may repeat the response to an earlier request; a response without
- * an attempt in flight closes the connection; a response without a length is complete only if the connection was closed
- * without an error. Not thread-safe: owned by the event loop.
+ * an attempt in flight closes the connection; a response whose end is decoded after the channel was closed is incomplete,
+ * because the channel stays open when the upstream ends the connection (half-closure) and is closed by a reset, a failed
+ * write or the gateway itself. Not thread-safe: owned by the event loop.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
     private static final EventLog LOG = EventLog.of(UpstreamConnection.class);
@@ -46,7 +48,6 @@
     private boolean isReused;
     private boolean skippingResponse;
     private boolean hasSkippedResponse;
-    private boolean connectionFailed;
     private boolean keepAlive;
     private long usableUntilNanos;
     private boolean timeoutAnnounced;
@@ -109,9 +110,15 @@
         failAttempt(Reason.CONNECTION_LOST);
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            ctx.close();
+        }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        connectionFailed = true;
         ctx.close();
     }
 
@@ -188,13 +195,13 @@
     }
 
     private void endAttempt(UpstreamAttempt attempt) {
-        if (connectionFailed) {
+        if (!channel.isActive()) {
             failAttempt(Reason.CONNECTION_LOST);
             return;
         }
         current = Optional.empty();
         attempt.setEnded();
-        if (keepAlive && channel.isActive()) {
+        if (keepAlive) {
             pool.addIdle(this);
         } else {
             channel.close();
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnectionPool.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnectionPool.java
@@ -119,6 +119,7 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- a/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
@@ -89,7 +89,12 @@
 
     /** Adds an upstream and waits until the gateway is ready and has read the upstream's entry. */
     FakeHttpUpstream addUpstream(String id, Script script) throws IOException {
-        FakeHttpUpstream upstream = new FakeHttpUpstream(id, script);
+        return add(new FakeHttpUpstream(id, script));
+    }
+
+    /** Adds an upstream and waits until the gateway is ready and has read the upstream's entry. */
+    FakeHttpUpstream add(FakeHttpUpstream upstream) {
+        String id = upstream.id();
         upstreams.add(upstream);
         store.put("servers/" + id, upstream.entry("svc", "ready"));
         store.put("op/config", configuration(7));
@@ -122,6 +127,16 @@
         }
     }
 
+    /** Returns the page with the metrics of the gateway, empty if it can't be read. */
+    String metrics() {
+        try (RawCaller caller = new RawCaller(adminPort)) {
+            caller.write("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+            return caller.readResponse().body();
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
     static int requestStatus(RawCaller caller, String target) {
         try {
             caller.sendRequest("GET", target, "id-" + System.nanoTime(), "");
--- a/gateway/src/test/java/org/citrontide/gateway/store/PlatformClientTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/store/PlatformClientTest.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -17,8 +18,10 @@
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
-/** Calls an engine that writes its response to an earlier order once more when the next order arrives. */
+/** Calls engines that repeat the response to an earlier order, or break off a response without a length. */
 final class PlatformClientTest {
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
     private static final int ORDERS = 10;
@@ -33,9 +36,7 @@
             }
             writeStatus(reply, r.body().contains("prepare") ? "202 Accepted" : "409 Conflict");
         })) {
-            String entry = engine.entry("svc", "ready");
-            int port = Integer.parseInt(entry.replaceAll(".*127.0.0.1:([0-9]+).*", "$1"));
-            InetSocketAddress address = new InetSocketAddress("127.0.0.1", port);
+            InetSocketAddress address = address(engine);
             EventLoop loop = loops.next();
             PlatformClient client = new PlatformClient(loop);
             for (int i = 0; i < ORDERS; i++) {
@@ -47,6 +48,38 @@
         }
     }
 
+    // Guards against documents of the platform that are cut off by a reset and taken for complete.
+    @Test
+    void responseWithoutLengthIsCompleteOnlyIfItsConnectionIsNotReset() throws Exception {
+        MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        try (FakeHttpUpstream engine = new FakeHttpUpstream("a", (r, reply) -> {
+            reply.write("HTTP/1.1 200 OK\r\n\r\n{\"step\":1");
+            TimeUnit.MILLISECONDS.sleep(50);
+            if (r.requestLine().contains("/reset")) {
+                reply.reset();
+            }
+            throw new IOException("the end of the response");
+        })) {
+            InetSocketAddress address = address(engine);
+            EventLoop loop = loops.next();
+            PlatformClient client = new PlatformClient(loop);
+            PlatformCall whole = new PlatformCall("GET", "/whole", new byte[0]);
+            PlatformCall reset = new PlatformCall("GET", "/reset", new byte[0]);
+            assertEquals(200, status(loop, () -> client.call(address, whole, TIMEOUT)));
+            ExecutionException failure = assertThrows(
+                    ExecutionException.class, () -> status(loop, () -> client.call(address, reset, TIMEOUT)));
+            assertInstanceOf(IOException.class, failure.getCause());
+        } finally {
+            loops.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+        }
+    }
+
+    private static InetSocketAddress address(FakeHttpUpstream engine) {
+        String entry = engine.entry("svc", "ready");
+        int port = Integer.parseInt(entry.replaceAll(".*127.0.0.1:([0-9]+).*", "$1"));
+        return new InetSocketAddress("127.0.0.1", port);
+    }
+
     private static void writeStatus(FakeHttpUpstream.Reply reply, String status) throws IOException {
         reply.write("HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n");
     }
