--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayDaemon.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayDaemon.java
@@ -1,25 +1,23 @@
 package org.citrontide.gateway.daemon;
 
 import java.io.IOException;
-import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 
+import org.citrontide.core.gateway.StopSchedule;
 import org.citrontide.runtime.log.EventLog;
 
 /**
  * A gateway process: accepts callers' requests and forwards them to upstreams over HTTP.
  *
- * <p>Invariant: a graceful shutdown first reports not ready and keeps serving until the load balancer has noticed,
- * then closes idle connections of callers, so that they open others elsewhere, refuses new requests, and ends once
- * every request in flight has its response or the time limit has passed. Thread-safe.
+ * <p>Invariant: a graceful shutdown first reports not ready and keeps serving, as {@link StopSchedule} permits, until
+ * the load balancer has noticed, then closes idle connections of callers, so that they open others elsewhere, refuses
+ * new requests, and ends once every request in flight has its response or the time limit has passed. Thread-safe.
  */
 public final class GatewayDaemon {
     private static final EventLog LOG = EventLog.of(GatewayDaemon.class);
     private static final long POLL_INTERVAL_MILLIS = 20;
-    // The load balancer checks readiness once a second and stops sending requests after two failed checks.
-    private static final Duration DRAIN_NOTICE = Duration.ofMillis(3200);
 
     private final GatewaySettings settings;
     private final GatewayComponent component;
@@ -66,19 +64,17 @@
             awaitStopped();
             return;
         }
-        long stopDeadlineNanos = System.nanoTime() + settings.stopLimit().toNanos();
-        long noticeEndNanos = System.nanoTime() + DRAIN_NOTICE.toNanos();
-        component.eventLoops().next().execute(() -> component.shell().setStopping());
+        StopSchedule schedule = new StopSchedule(System.nanoTime(), settings.stopLimit());
+        component.eventLoops().next().execute(() -> component.shell().startStop(schedule));
         LOG.info("stopping").with("open", component.shell().openRequests()).write();
-        while (System.nanoTime() < noticeEndNanos) {
+        while (!schedule.isNoticeOver(System.nanoTime())) {
             pause();
         }
         component.eventLoops().next().execute(() -> {
             component.callerServer().closeIdleConnections();
-            component.shell().refuseNewRequests();
             component.controlPlane().stop();
         });
-        while (System.nanoTime() < stopDeadlineNanos
+        while (!schedule.isLimitReached(System.nanoTime())
                 && (component.shell().openRequests() > 0
                         || component.controlPlane().isHolding())) {
             pause();
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
@@ -19,6 +19,7 @@
 import org.citrontide.core.gateway.GatewayEvent;
 import org.citrontide.core.gateway.GatewayRequest;
 import org.citrontide.core.gateway.SendSlots;
+import org.citrontide.core.gateway.StopSchedule;
 import org.citrontide.core.quarantine.CrashEvidence;
 import org.citrontide.core.routes.ListedUpstream;
 import org.citrontide.core.routes.Route;
@@ -68,8 +69,7 @@
     private final Map<String, Double> slownessByUpstream = new HashMap<>();
     private Optional<CrashEvidenceStore> crashEvidence = Optional.empty();
     private RoutingTable table = RoutingTable.NONE;
-    private boolean stopping;
-    private boolean refusingNewRequests;
+    private Optional<StopSchedule> stopSchedule = Optional.empty();
     private long nextRequestId = 1;
 
     /**
@@ -91,14 +91,14 @@
         loop.scheduleAtFixedRate(tick, TICK.toMillis(), TICK.toMillis(), TimeUnit.MILLISECONDS);
     }
 
-    /** Marks the process as stopping, so that each caller's connection is closed after its next response. */
-    public void setStopping() {
-        stopping = true;
-    }
-
-    /** Refuses new requests from now on, since the process may exit before it can respond to them. */
-    public void refuseNewRequests() {
-        refusingNewRequests = true;
+    /**
+     * Starts a planned stop: each caller's connection is closed after its next response, and new requests are accepted
+     * only as the schedule permits.
+     *
+     * @param schedule decides which requests are still accepted
+     */
+    public void startStop(StopSchedule schedule) {
+        stopSchedule = Optional.of(schedule);
     }
 
     /**
@@ -178,14 +178,14 @@
 
     @Override
     public boolean isStopping() {
-        return stopping;
+        return stopSchedule.isPresent();
     }
 
     @Override
     public void requestArrived(CallerRequest request) {
         long now = System.nanoTime();
         RequestHead head = new RequestHead(request.target(), request.headers(), table);
-        Optional<Reason> refusal = refusingNewRequests ? Optional.of(Reason.DRAINING) : GatewayFilter.checkAll(head);
+        Optional<Reason> refusal = findRefusal(request, head, now);
         if (refusal.isPresent()) {
             Verdict verdict = new Verdict.NotRun(refusal.get(), TICK);
             log.logFilterRefusal(request, table.version(), verdict);
@@ -291,13 +291,28 @@
         return exchange != null && exchange.attempt.isPresent() && exchange.attempt.get() == attempt ? exchange : null;
     }
 
-    private GatewayRequest buildRequest(CallerRequest callerRequest, RequestHead head, long now) {
-        Route route = head.route();
-        Duration callerTimeout = UpstreamRequestBuilder.parseNumber(
-                        callerRequest.headers(), PlatformHeaders.REMAINING_MS)
+    private Optional<Reason> findRefusal(CallerRequest request, RequestHead head, long now) {
+        if (stopSchedule.filter(s -> s.isNoticeOver(now)).isPresent()) {
+            return Optional.of(Reason.DRAINING);
+        }
+        Optional<Reason> refusal = GatewayFilter.checkAll(head);
+        if (refusal.isPresent() || stopSchedule.isEmpty()) {
+            return refusal;
+        }
+        long deadline = now + timeout(request, head.route()).toNanos();
+        return stopSchedule.get().accepts(deadline, now) ? Optional.empty() : Optional.of(Reason.DRAINING);
+    }
+
+    private static Duration timeout(CallerRequest request, Route route) {
+        Duration callerTimeout = UpstreamRequestBuilder.parseNumber(request.headers(), PlatformHeaders.REMAINING_MS)
                 .map(Duration::ofMillis)
                 .orElse(DEFAULT_TIMEOUT);
-        Duration timeout = callerTimeout.compareTo(route.timeout()) < 0 ? callerTimeout : route.timeout();
+        return callerTimeout.compareTo(route.timeout()) < 0 ? callerTimeout : route.timeout();
+    }
+
+    private GatewayRequest buildRequest(CallerRequest callerRequest, RequestHead head, long now) {
+        Route route = head.route();
+        Duration timeout = timeout(callerRequest, route);
         int rank = head.team().flatMap(Team::priority).orElse(route.priority());
         TokenCounts tokens = TokenCounts.parse(callerRequest.headers());
         return new GatewayRequest(
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
@@ -25,9 +25,9 @@
  *
  * <p>Invariants: a response that echoes the ID of another attempt is skipped; a response without an ID is taken only as
  * the first one of a connection, because a later one may repeat the response to an earlier request; a response without
- * an attempt in flight closes the connection; a response whose end is decoded after the channel was closed is incomplete,
- * because the channel stays open when the upstream ends the connection (half-closure) and is closed by a reset, a failed
- * write or the gateway itself. Not thread-safe: owned by the event loop.
+ * an attempt in flight closes the connection; a response whose end is decoded after the channel was closed is
+ * incomplete, because the channel stays open when the upstream ends the connection (half-closure) and is closed by a
+ * reset, a failed write or the gateway itself. Not thread-safe: owned by the event loop.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
     private static final EventLog LOG = EventLog.of(UpstreamConnection.class);
--- a/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
@@ -55,6 +55,17 @@
             FakePlatformStore store,
             Optional<InetSocketAddress> peerAddress,
             List<InetSocketAddress> peers) {
+        return createGateway(vm, callerPort, adminPort, store, peerAddress, peers, Duration.ofSeconds(8));
+    }
+
+    static GatewayDaemon createGateway(
+            String vm,
+            int callerPort,
+            int adminPort,
+            FakePlatformStore store,
+            Optional<InetSocketAddress> peerAddress,
+            List<InetSocketAddress> peers,
+            Duration stopLimit) {
         return new GatewayDaemon(
                 new GatewaySettings(
                         vm,
@@ -66,7 +77,7 @@
                         peers,
                         100,
                         LINK_MEGABITS_PER_SECOND,
-                        Duration.ofSeconds(8),
+                        stopLimit,
                         Duration.ofSeconds(2),
                         0.2,
                         Duration.ofSeconds(10),
@@ -119,6 +130,10 @@
     }
 
     int readinessStatus() {
+        return readinessStatus(adminPort);
+    }
+
+    static int readinessStatus(int adminPort) {
         try (RawCaller caller = new RawCaller(adminPort)) {
             caller.write("GET /-/readiness HTTP/1.1\r\nHost: x\r\n\r\n");
             return caller.readResponse().status();
--- a/gateway/src/test/java/org/citrontide/gateway/PlannedStopTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/PlannedStopTest.java
@@ -1,9 +1,15 @@
 package org.citrontide.gateway;
 
 import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
 
+import org.citrontide.fakes.net.TestPorts;
 import org.citrontide.fakes.platform.FakeHttpUpstream;
+import org.citrontide.gateway.daemon.GatewayDaemon;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -11,6 +17,9 @@
 
 /** Tests planned stops of a complete gateway. */
 final class PlannedStopTest extends GatewayHarness {
+    private static final int EVENTS = 25;
+    private static final int EVENT_GAP_MS = 100;
+
     @Test
     void aPlannedStopTurnsReadinessOffFirstAndCompletesOpenRequests() throws Exception {
         addUpstream("a", (r, reply) -> {
@@ -76,4 +85,38 @@
             stopper.join();
         }
     }
+
+    // Guards against requests that are accepted late in a planned stop and cut off when the process exits.
+    @ParameterizedTest
+    @ValueSource(strings = {"/stream/", "/book/"})
+    void aRequestThatMayOutliveAPlannedStopIsRefusedAsNotRun(String target) throws Exception {
+        FakeHttpUpstream u = addUpstream("a", (r, reply) -> {
+            reply.writeHead("200 OK", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
+            for (int i = 1; i <= EVENTS; i++) {
+                pause(EVENT_GAP_MS);
+                reply.writeChunk("id: " + i + "\ndata: word\n\n");
+            }
+            reply.write("0\r\n\r\n");
+        });
+        int port = TestPorts.allocate();
+        int admin = TestPorts.allocate();
+        GatewayDaemon stopping =
+                createGateway("vm2", port, admin, store, Optional.empty(), List.of(), Duration.ofMillis(5000));
+        stopping.start();
+        await("the second gateway is ready", () -> readinessStatus(admin) == 200);
+        try (RawCaller first = new RawCaller(port);
+                RawCaller late = new RawCaller(port)) {
+            Thread stopper = Thread.ofVirtual().start(stopping::stop);
+            pause(1000);
+            first.sendRequest("POST", target, "id-first", "");
+            pause(1800);
+            late.sendRequest("POST", target, "id-late", "");
+            RawCaller.Response response = late.readResponse();
+            assertEquals(503, response.status());
+            assertFalse(response.header("Retry-After").isEmpty());
+            assertTrue(first.readResponse().isComplete());
+            assertEquals(1, u.requests().size());
+            stopper.join();
+        }
+    }
 }
