--- a/gateway/src/main/java/org/citrontide/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/caller/CallerConnection.java
@@ -33,7 +33,8 @@
  * A caller's connection, which reads complete requests, dispatches one at a time, and writes the responses in order.
  *
  * <p>Invariants: a response is sent only to the current request; an aborted response closes the connection, so that the
- * caller can't mistake it for a complete one. Not thread-safe: owned by the event loop.
+ * caller can't mistake it for a complete one; a connection is idle only once its responses are written. Not thread-safe:
+ * owned by the event loop.
  */
 public final class CallerConnection extends ChannelInboundHandlerAdapter {
     // Callers send one request at a time; one that pipelines more than this is treated as abusive and disconnected.
@@ -47,6 +48,7 @@
     private Optional<CallerRequest> current = Optional.empty();
     private boolean closing;
     private boolean streaming;
+    private int unwrittenResponses;
     private long lastActivityNanos = System.nanoTime();
 
     CallerConnection(CallerServer server, StrictRequestDecoder decoder) {
@@ -133,7 +135,8 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        server.connectionClosed(this);
+        server.connectionClosed(this, unwrittenResponses);
+        unwrittenResponses = 0;
         Optional<CallerRequest> interrupted = current;
         current = Optional.empty();
         pipelined.clear();
@@ -146,7 +149,7 @@
     }
 
     boolean isIdle() {
-        return current.isEmpty() && incoming.isEmpty() && pipelined.isEmpty();
+        return current.isEmpty() && incoming.isEmpty() && pipelined.isEmpty() && unwrittenResponses == 0;
     }
 
     /** Closes the connection if the caller exceeds the timeout for the head of a request or the idle timeout. */
@@ -257,6 +260,9 @@
     private void handleResponseEnd(ChannelFuture writeFuture, boolean isLast) {
         current = Optional.empty();
         lastActivityNanos = System.nanoTime();
+        unwrittenResponses++;
+        server.responseQueued();
+        writeFuture.addListener(f -> handleResponseWritten());
         if (isLast) {
             closing = true;
             writeFuture.addListener(ChannelFutureListener.CLOSE);
@@ -265,6 +271,13 @@
         dispatchNext();
     }
 
+    private void handleResponseWritten() {
+        if (unwrittenResponses > 0) {
+            unwrittenResponses--;
+            server.responseWritten();
+        }
+    }
+
     /**
      * Responds with an error to a request that can't be read completely and closes the connection, since the rest of
      * that request is not read. Closes it without a response if the response to an earlier request is pending.
--- a/gateway/src/main/java/org/citrontide/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/org/citrontide/gateway/caller/CallerServer.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 
 import io.netty.bootstrap.ServerBootstrap;
@@ -23,7 +24,7 @@
 /**
  * Accepts the connections of callers and closes those that exceed a timeout.
  *
- * <p>Not thread-safe: owned by the event loop once the server listens.
+ * <p>Not thread-safe: owned by the event loop once the server listens, except for {@link #unwrittenResponses}.
  */
 public final class CallerServer {
     // Precise enough for timeouts of seconds.
@@ -35,6 +36,7 @@
     private final Supplier<CallerLimits> limits;
     private final int maxConnections;
     private final Set<CallerConnection> openConnections = new HashSet<>();
+    private final AtomicInteger unwrittenResponses = new AtomicInteger();
 
     /**
      * Creates a server.
@@ -103,6 +105,16 @@
         return openConnections.size();
     }
 
+    /**
+     * Returns the number of complete responses that the network has not taken over yet, because their callers read
+     * slowly. May be called by any thread.
+     *
+     * @return number of responses
+     */
+    public int unwrittenResponses() {
+        return unwrittenResponses.get();
+    }
+
     CallerListener listener() {
         return listener;
     }
@@ -118,8 +130,17 @@
         }
     }
 
-    void connectionClosed(CallerConnection connection) {
+    void connectionClosed(CallerConnection connection, int discardedResponses) {
         openConnections.remove(connection);
+        unwrittenResponses.addAndGet(-discardedResponses);
+    }
+
+    void responseQueued() {
+        unwrittenResponses.incrementAndGet();
+    }
+
+    void responseWritten() {
+        unwrittenResponses.decrementAndGet();
     }
 
     private void checkTimeouts() {
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayDaemon.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayDaemon.java
@@ -13,7 +13,7 @@
  *
  * <p>Invariant: a graceful shutdown first reports not ready and keeps serving, as {@link StopSchedule} permits, until
  * the load balancer has noticed, then closes idle connections of callers, so that they open others elsewhere, refuses
- * new requests, and ends once every request in flight has its response or the time limit has passed. Thread-safe.
+ * new requests, and ends once the response to every request is written or the time limit has passed. Thread-safe.
  */
 public final class GatewayDaemon {
     private static final EventLog LOG = EventLog.of(GatewayDaemon.class);
@@ -76,12 +76,16 @@
         });
         while (!schedule.isLimitReached(System.nanoTime())
                 && (component.shell().openRequests() > 0
+                        || component.callerServer().unwrittenResponses() > 0
                         || component.controlPlane().isHolding())) {
             pause();
         }
         component.eventLoops().next().execute(() -> component.callerServer().closeIdleConnections());
         pause();
-        LOG.info("stopped").with("cut-off", component.shell().openRequests()).write();
+        LOG.info("stopped")
+                .with("cut-off", component.shell().openRequests())
+                .with("unwritten", component.callerServer().unwrittenResponses())
+                .write();
         stopped.countDown();
     }
 
--- a/gateway/src/test/java/org/citrontide/gateway/PlannedStopTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/PlannedStopTest.java
@@ -19,6 +19,8 @@
 final class PlannedStopTest extends GatewayHarness {
     private static final int EVENTS = 25;
     private static final int EVENT_GAP_MS = 100;
+    // More than the socket buffers between the gateway and a caller hold.
+    private static final int LARGE_RESPONSE_BYTES = 7 * 1024 * 1024;
 
     @Test
     void aPlannedStopTurnsReadinessOffFirstAndCompletesOpenRequests() throws Exception {
@@ -119,4 +121,32 @@
             stopper.join();
         }
     }
+
+    // Guards against large responses that are cut off because a stop waits for requests, but not for writes.
+    @ParameterizedTest
+    @ValueSource(longs = {-200, 200})
+    void aPlannedStopWaitsUntilResponsesAreWritten(long requestMsAfterSignal) throws Exception {
+        String body = "x".repeat(LARGE_RESPONSE_BYTES);
+        addUpstream("a", (r, reply) -> reply.writeResponse("200 OK", body));
+        try (RawCaller slow = RawCaller.withSmallReceiveBuffer(callerPort)) {
+            if (requestMsAfterSignal < 0) {
+                slow.sendRequest("POST", "/book/", "id-1", "");
+                pause(-requestMsAfterSignal);
+            }
+            Thread stopper = Thread.ofVirtual().start(daemon::stop);
+            if (requestMsAfterSignal > 0) {
+                pause(requestMsAfterSignal);
+                slow.sendRequest("POST", "/book/", "id-1", "");
+            }
+            pause(4200);
+            assertTrue(stopper.isAlive(), "the stop ended before the response was written");
+            RawCaller.Response response = slow.readResponse();
+            assertTrue(response.isComplete());
+            assertEquals(LARGE_RESPONSE_BYTES, response.body().length());
+            long readNanos = System.nanoTime();
+            stopper.join();
+            long ms = Duration.ofNanos(System.nanoTime() - readNanos).toMillis();
+            assertTrue(ms < 1000, "the stop lasted " + ms + " ms longer than the response");
+        }
+    }
 }
--- a/gateway/src/test/java/org/citrontide/gateway/RawCaller.java
+++ b/gateway/src/test/java/org/citrontide/gateway/RawCaller.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
@@ -10,6 +11,7 @@
 /** A caller that writes arbitrary bytes and reads complete responses. Confined to the thread of its test. */
 final class RawCaller implements AutoCloseable {
     private static final int TIMEOUT_MS = 10_000;
+    private static final int SMALL_RECEIVE_BUFFER = 8 * 1024;
 
     private final Socket socket;
     private final InputStream in;
@@ -31,11 +33,23 @@
     }
 
     RawCaller(int port) throws IOException {
-        socket = new Socket("127.0.0.1", port);
+        this(port, new Socket());
+    }
+
+    private RawCaller(int port, Socket unconnected) throws IOException {
+        socket = unconnected;
+        socket.connect(new InetSocketAddress("127.0.0.1", port));
         socket.setSoTimeout(TIMEOUT_MS);
         in = socket.getInputStream();
     }
 
+    /** Connects a caller whose small receive buffer leaves large responses to the gateway until they are read. */
+    static RawCaller withSmallReceiveBuffer(int port) throws IOException {
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(SMALL_RECEIVE_BUFFER);
+        return new RawCaller(port, socket);
+    }
+
     void write(String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
     }
