--- /dev/null
+++ b/core/src/test/java/org/citrontide/core/gateway/ResponseMemoryTest.java
@@ -0,0 +1,55 @@
+package org.citrontide.core.gateway;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+final class ResponseMemoryTest {
+    private static final int SEEDS = 200;
+    private static final int STEPS = 500;
+    private static final long LIMIT = 1000;
+
+    @Test
+    void dropsTheLargestResponseWhenTheLimitIsPassed() {
+        ResponseMemory memory = new ResponseMemory(LIMIT);
+        assertEquals(List.of(), memory.add(1, 300));
+        assertEquals(List.of(), memory.add(2, 600));
+        assertEquals(List.of(), memory.add(3, 100));
+        assertEquals(List.of(2L), memory.add(1, 1));
+        assertEquals(401, memory.usedBytes());
+        assertEquals(List.of(4L), memory.add(4, 5000));
+        assertEquals(401, memory.usedBytes());
+    }
+
+    // Guards against responses that are still counted after their attempt, or never were.
+    @Test
+    void staysWithinTheLimitAndReturnsToZero() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            ResponseMemory memory = new ResponseMemory(LIMIT);
+            Map<Long, Long> kept = new HashMap<>();
+            for (int step = 0; step < STEPS; step++) {
+                long attempt = random.nextLong(20);
+                if (random.nextInt(5) == 0) {
+                    memory.remove(attempt);
+                    kept.remove(attempt);
+                } else {
+                    int bytes = random.nextInt(300);
+                    kept.merge(attempt, (long) bytes, Long::sum);
+                    memory.add(attempt, bytes).forEach(kept::remove);
+                }
+                long sum = kept.values().stream().mapToLong(b -> b).sum();
+                assertEquals(sum, memory.usedBytes(), "seed " + seed);
+                assertTrue(sum <= LIMIT, "seed " + seed);
+            }
+            List.copyOf(kept.keySet()).forEach(memory::remove);
+            assertEquals(0, memory.usedBytes(), "seed " + seed);
+        }
+    }
+}
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
@@ -15,6 +15,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.citrontide.core.gateway.GatewayDispatcher;
 import org.citrontide.core.gateway.GatewayRetryBudget;
+import org.citrontide.core.gateway.ResponseMemory;
 import org.citrontide.core.gateway.RetrySlackShare;
 import org.citrontide.gateway.admin.AdminPages;
 import org.citrontide.gateway.admin.PageServer;
@@ -82,7 +83,11 @@
                 () -> new GatewayRetryBudget(settings.retryRatio(), settings.retryWindow(), slackShare),
                 random.split());
         return new GatewayShell(
-                dispatcher, eventLoops.next(), r, new GatewayMetrics(registry, settings.maxTeamLabels()));
+                dispatcher,
+                eventLoops.next(),
+                r,
+                new GatewayMetrics(registry, settings.maxTeamLabels()),
+                new ResponseMemory(settings.responseMemoryBytes()));
     }
 
     @Provides
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewaySettings.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewaySettings.java
@@ -27,6 +27,7 @@
  * @param retryWindow length of the sliding window over which requests and retries are counted
  * @param retrySlack retries per window allowed to all gateways together, regardless of the number of requests
  * @param maxTeamLabels maximum number of teams that have their own metric labels
+ * @param responseMemoryBytes maximum memory in bytes for incomplete responses of upstreams
  */
 public record GatewaySettings(
         String vm,
@@ -43,7 +44,8 @@
         double retryRatio,
         Duration retryWindow,
         int retrySlack,
-        int maxTeamLabels) {
+        int maxTeamLabels,
+        long responseMemoryBytes) {
     private static final int MAX_CONNECTIONS = 100_000;
     private static final int DEFAULT_CONNECTIONS = 2000;
     private static final double MIN_LINK_MBPS = 0.1;
@@ -61,6 +63,10 @@
     private static final int DEFAULT_SLACK = 50;
     private static final int MAX_LABELS = 1000;
     private static final int DEFAULT_LABELS = 300;
+    private static final int MAX_RESPONSE_MEMORY_KB = 1024 * 1024 * 1024;
+    // The rest of the heap holds requests, the store's entries and what the process needs without load.
+    private static final int RESPONSE_HEAP_DIVISOR = 3;
+    private static final int BYTES_PER_KB = 1024;
 
     /** Copies the list, so that the record is immutable. */
     public GatewaySettings {
@@ -93,6 +99,7 @@
         Duration window = root.milliseconds("repeat_window_ms", 1, MAX_WINDOW_MS, DEFAULT_WINDOW_MS);
         int slack = root.integer("repeat_slack", 0, MAX_SLACK, DEFAULT_SLACK);
         int labels = root.integer("max_team_labels", 0, MAX_LABELS, DEFAULT_LABELS);
+        int responseMemory = root.integer("response_memory_kb", 1, MAX_RESPONSE_MEMORY_KB, defaultResponseMemoryKb());
         return root.finish(() -> new GatewaySettings(
                 vm,
                 zone,
@@ -108,6 +115,12 @@
                 ratio,
                 window,
                 slack,
-                labels));
+                labels,
+                (long) responseMemory * BYTES_PER_KB));
+    }
+
+    private static int defaultResponseMemoryKb() {
+        long kb = Runtime.getRuntime().maxMemory() / RESPONSE_HEAP_DIVISOR / BYTES_PER_KB;
+        return (int) Math.min(MAX_RESPONSE_MEMORY_KB, kb);
     }
 }
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayMetrics.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayMetrics.java
@@ -18,6 +18,7 @@
     private final Counter attempts;
     private final Gauge openRequestsGauge;
     private final Gauge versionGauge;
+    private final Gauge responseBytesGauge;
 
     /**
      * Registers the metrics.
@@ -41,6 +42,8 @@
                 .register(registry);
         openRequestsGauge = gauge(registry, "citrontide_gateway_open_requests", "Requests without a final answer");
         versionGauge = gauge(registry, "citrontide_gateway_configuration_version", "Version in force");
+        responseBytesGauge =
+                gauge(registry, "citrontide_gateway_response_bytes", "Memory for incomplete responses in bytes");
     }
 
     void recordFirstByte(String team, int rank, long nanos) {
@@ -56,8 +59,9 @@
         attempts.labelValues(service).inc();
     }
 
-    void recordState(int openRequests, long configurationVersion) {
+    void recordState(int openRequests, long configurationVersion, long responseBytes) {
         openRequestsGauge.set(openRequests);
+        responseBytesGauge.set(responseBytes);
         versionGauge.set(configurationVersion);
     }
 
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
@@ -18,6 +18,7 @@
 import org.citrontide.core.gateway.GatewayDispatcher;
 import org.citrontide.core.gateway.GatewayEvent;
 import org.citrontide.core.gateway.GatewayRequest;
+import org.citrontide.core.gateway.ResponseMemory;
 import org.citrontide.core.gateway.SendSlots;
 import org.citrontide.core.gateway.StopSchedule;
 import org.citrontide.core.quarantine.CrashEvidence;
@@ -56,6 +57,7 @@
     private static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(60);
 
     private final GatewayDispatcher dispatcher;
+    private final ResponseMemory responseMemory;
     private final UpstreamConnectionPool connectionPool;
     private final ReportReader reports;
     private final UpstreamChecker checker;
@@ -79,10 +81,17 @@
      * @param loop event loop that owns the shell
      * @param random source of randomness for the choice among the services of split routes
      * @param metrics metrics to update
+     * @param responseMemory limits the memory for incomplete responses
      */
-    public GatewayShell(GatewayDispatcher dispatcher, EventLoop loop, RandomGenerator random, GatewayMetrics metrics) {
+    public GatewayShell(
+            GatewayDispatcher dispatcher,
+            EventLoop loop,
+            RandomGenerator random,
+            GatewayMetrics metrics,
+            ResponseMemory responseMemory) {
         this.dispatcher = dispatcher;
-        this.connectionPool = new UpstreamConnectionPool(loop, this);
+        this.responseMemory = responseMemory;
+        this.connectionPool = new UpstreamConnectionPool(loop, this, responseMemory);
         this.reports = new ReportReader(new PlatformClient(loop));
         this.checker = new UpstreamChecker(loop);
         this.random = random;
@@ -283,7 +292,7 @@
 
     private void tick() {
         handle(new GatewayEvent.Tick());
-        metrics.recordState(openById.size(), table.version());
+        metrics.recordState(openById.size(), table.version(), responseMemory.usedBytes());
     }
 
     private OpenExchange findExchange(UpstreamAttempt attempt) {
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamAttempt.java
@@ -1,6 +1,5 @@
 package org.citrontide.gateway.upstream;
 
-import java.io.ByteArrayOutputStream;
 import java.util.Optional;
 
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -18,7 +17,7 @@
     private final String attemptId;
     private final boolean isStreaming;
     private final boolean atMostOnce;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final ResponseBody body = new ResponseBody();
     private Optional<ResponseHead> head = Optional.empty();
     private Optional<UpstreamConnection> connection = Optional.empty();
     private boolean ended;
@@ -122,8 +121,9 @@
         head = Optional.of(newHead);
     }
 
-    void appendBody(byte[] data) {
-        body.writeBytes(data);
+    /** Appends bytes to the body; returns the number of bytes of memory that this took up. */
+    int appendBody(byte[] data) {
+        return body.append(data);
     }
 
     Optional<UpstreamConnection> connection() {
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
@@ -187,13 +187,24 @@
             pool.listener().dataReceived(attempt, data);
             return;
         }
-        attempt.appendBody(data);
+        pool.recordMemory(attempt, attempt.appendBody(data));
         if (attempt.bodyLength() > MAX_BUFFERED_BYTES) {
-            failAttempt(Reason.ANSWER_BROKEN);
-            channel.close();
+            dropResponse();
         }
     }
 
+    /** Fails the attempt because its response is too large to be kept. */
+    void dropResponse() {
+        current.ifPresent(attempt -> LOG.warn("response-dropped")
+                .with("upstream", attempt.upstream().id())
+                .with("id", attempt.attemptId())
+                .with("bytes", attempt.bodyLength())
+                .with("kept-bytes", pool.keptBytes())
+                .write());
+        failAttempt(Reason.ANSWER_BROKEN);
+        channel.close();
+    }
+
     private void endAttempt(UpstreamAttempt attempt) {
         if (!channel.isActive()) {
             failAttempt(Reason.CONNECTION_LOST);
@@ -201,6 +212,7 @@
         }
         current = Optional.empty();
         attempt.setEnded();
+        pool.releaseMemory(attempt);
         if (keepAlive) {
             pool.addIdle(this);
         } else {
@@ -216,6 +228,7 @@
         current = Optional.empty();
         if (attempt.isPresent() && !attempt.get().isEnded()) {
             attempt.get().setEnded();
+            pool.releaseMemory(attempt.get());
             pool.listener().attemptEnded(attempt.get(), new AttemptOutcome.Broken(reason));
         }
     }
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnectionPool.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnectionPool.java
@@ -16,6 +16,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import org.citrontide.core.gateway.AttemptOutcome;
+import org.citrontide.core.gateway.ResponseMemory;
 
 /**
  * A pool of connections to upstreams, which opens connections on demand, keeps them for as long as the upstream
@@ -30,7 +31,9 @@
 
     private final EventLoopGroup loop;
     private final AttemptListener listener;
+    private final ResponseMemory responseMemory;
     private final Map<String, Deque<UpstreamConnection>> idleByKey = new HashMap<>();
+    private final Map<Long, UpstreamAttempt> keptByNumber = new HashMap<>();
     private long openedCount;
 
     /**
@@ -38,10 +41,12 @@
      *
      * @param loop event loop of all connections
      * @param listener receives the progress of the attempts
+     * @param responseMemory limits the memory for incomplete responses
      */
-    public UpstreamConnectionPool(EventLoopGroup loop, AttemptListener listener) {
+    public UpstreamConnectionPool(EventLoopGroup loop, AttemptListener listener, ResponseMemory responseMemory) {
         this.loop = loop;
         this.listener = listener;
+        this.responseMemory = responseMemory;
     }
 
     /**
@@ -65,6 +70,7 @@
      */
     public void cancel(UpstreamAttempt attempt) {
         attempt.setEnded();
+        releaseMemory(attempt);
         attempt.connection().ifPresent(UpstreamConnection::close);
     }
 
@@ -81,6 +87,23 @@
         return listener;
     }
 
+    /** Records memory for the response of an attempt, and drops the largest responses if there is too little. */
+    void recordMemory(UpstreamAttempt attempt, int bytes) {
+        keptByNumber.put(attempt.number(), attempt);
+        for (long dropped : responseMemory.add(attempt.number(), bytes)) {
+            keptByNumber.get(dropped).connection().ifPresent(UpstreamConnection::dropResponse);
+        }
+    }
+
+    void releaseMemory(UpstreamAttempt attempt) {
+        keptByNumber.remove(attempt.number());
+        responseMemory.remove(attempt.number());
+    }
+
+    long keptBytes() {
+        return responseMemory.usedBytes();
+    }
+
     void addIdle(UpstreamConnection connection) {
         idleByKey.computeIfAbsent(connection.poolKey(), u -> new ArrayDeque<>()).addFirst(connection);
     }
--- a/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
@@ -22,6 +22,8 @@
 
 /** Base class of tests that run a gateway in the process of the test, with a fake platform store and fake upstreams. */
 abstract class GatewayHarness {
+    static final int RESPONSE_MEMORY_BYTES = 16 * 1024 * 1024;
+
     private static final double LINK_MEGABITS_PER_SECOND = 1000;
     private static final Duration AWAIT_TIMEOUT = Duration.ofSeconds(20);
 
@@ -82,7 +84,8 @@
                         0.2,
                         Duration.ofSeconds(10),
                         600,
-                        10),
+                        10,
+                        RESPONSE_MEMORY_BYTES),
                 1);
     }
 
