--- a/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
@@ -81,6 +81,9 @@
             case GatewayEvent.CallerDisconnected d ->
                 Optional.ofNullable(openById.get(d.request())).ifPresent(handler::close);
             case GatewayEvent.ResponseProgress p -> handler.handleResponseProgress(p);
+            case GatewayEvent.ReadingPaused p ->
+                Optional.ofNullable(byAttempt.get(p.attempt()))
+                        .ifPresent(open -> open.attempt.orElseThrow().setPaused(p.isPaused(), nowNanos));
             case GatewayEvent.AttemptEnded e -> handler.handleAttemptEnded(e);
             case GatewayEvent.UpstreamsUpdated u -> registry.replaceAll(u.upstreams(), nowNanos);
             case GatewayEvent.ReportReceived r ->
@@ -429,11 +432,7 @@
         /** Ends a request with the given verdict, or with one that says so if an earlier attempt may have run. */
         private void end(OpenGatewayRequest open, Verdict.NotRun notRun) {
             close(open);
-            Verdict verdict = open.finalVerdict(notRun);
-            actions.add(
-                    open.isResponseStarted
-                            ? new GatewayAction.AbortResponse(open.request.id(), verdict)
-                            : new GatewayAction.RefuseRequest(open.request.id(), verdict));
+            actions.add(open.endAction(notRun));
         }
 
         private void close(OpenGatewayRequest open) {
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayEvent.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayEvent.java
@@ -47,6 +47,14 @@
      */
     record SlotsUpdated(SendSlots slots) implements GatewayEvent {}
 
+    /**
+     * The gateway stopped or resumed reading a response, because its caller reads more slowly than it arrives.
+     *
+     * @param attempt number of the attempt
+     * @param isPaused whether the response is not read
+     */
+    record ReadingPaused(long attempt, boolean isPaused) implements GatewayEvent {}
+
     /**
      * An attempt ended.
      *
--- a/core/src/main/java/org/citrontide/core/gateway/OpenGatewayRequest.java
+++ b/core/src/main/java/org/citrontide/core/gateway/OpenGatewayRequest.java
@@ -33,12 +33,24 @@
         /** Whether the attempt counts towards the limit on late requests whose response has not started. */
         boolean isLatePending;
 
+        /** Whether the response is not read because its caller is slow, so that silence is not the upstream's. */
+        private boolean isPaused;
+
         Attempt(long number, UpstreamState upstream, long sentNanos) {
             this.number = number;
             this.upstream = upstream;
             this.sentNanos = sentNanos;
             this.progressNanos = sentNanos;
         }
+
+        void setPaused(boolean paused, long nowNanos) {
+            isPaused = paused;
+            progressNanos = nowNanos;
+        }
+
+        boolean isPaused() {
+            return isPaused;
+        }
     }
 
     final GatewayRequest request;
@@ -62,13 +74,21 @@
     }
 
     /** Returns the verdict, or one that says so if an earlier attempt may have run. */
-    Verdict finalVerdict(Verdict.NotRun notRun) {
+    private Verdict finalVerdict(Verdict.NotRun notRun) {
         if (mayHaveRunReason.isEmpty()) {
             return notRun;
         }
         return new Verdict.MayHaveRun(notRun.reason() == Reason.DEADLINE ? Reason.DEADLINE : mayHaveRunReason.get());
     }
 
+    /** Returns the action that ends the request with the given verdict, or one that says that it may have run. */
+    GatewayAction endAction(Verdict.NotRun notRun) {
+        Verdict verdict = finalVerdict(notRun);
+        return isResponseStarted
+                ? new GatewayAction.AbortResponse(request.id(), verdict)
+                : new GatewayAction.RefuseRequest(request.id(), verdict);
+    }
+
     /** Returns the outcome, or that the response is broken if it doesn't continue the one that has started. */
     AttemptOutcome effectiveOutcome(Attempt ended, AttemptOutcome outcome) {
         boolean continuesResponse = outcome instanceof AttemptOutcome.Completed c && c.isSuccess() && ended.isStarted;
--- a/core/src/main/java/org/citrontide/core/gateway/ServiceState.java
+++ b/core/src/main/java/org/citrontide/core/gateway/ServiceState.java
@@ -20,7 +20,8 @@
     /** Returns whether an attempt has been without bytes for so long that it is considered lost. */
     boolean isSilentForTooLong(Route route, OpenGatewayRequest.Attempt attempt, long nowNanos) {
         long silentNanos = nowNanos - Math.max(attempt.progressNanos, attempt.upstream.lastProgressNanos());
-        return silentNanos >= stallTimeout(route, attempt).toNanos();
+        return !attempt.isPaused()
+                && silentNanos >= stallTimeout(route, attempt).toNanos();
     }
 
     private Duration stallTimeout(Route route, OpenGatewayRequest.Attempt attempt) {
--- a/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherTest.java
@@ -316,6 +316,23 @@
         assertInstanceOf(GatewayAction.SendAttempt.class, out.getLast());
     }
 
+    // Guards against streams that are run again elsewhere because their callers read slowly.
+    @Test
+    void aStreamThatIsNotReadBecauseItsCallerIsSlowIsNotTakenForStalled() {
+        GatewayAction.SendAttempt paused = send(arrive(1, Route.RetrySafety.RESUMABLE));
+        GatewayAction.SendAttempt active = send(arrive(2, Route.RetrySafety.RESUMABLE));
+        handle(new GatewayEvent.ReadingPaused(paused.attempt(), true));
+        nowMs += 1000;
+        handle(new GatewayEvent.ResponseProgress(active.attempt(), true));
+        assertEquals(List.of(), handle(new GatewayEvent.Tick()));
+        handle(new GatewayEvent.ReadingPaused(paused.attempt(), false));
+        assertEquals(List.of(), handle(new GatewayEvent.Tick()), "the time of the pause doesn't count");
+        nowMs += 1000;
+        handle(new GatewayEvent.ResponseProgress(active.attempt(), true));
+        List<GatewayAction> out = handle(new GatewayEvent.Tick());
+        assertEquals(new GatewayAction.CancelAttempt(paused.attempt()), out.getFirst());
+    }
+
     @Test
     void requestQueuedAtBusyUpstreamIsNotSentElsewhereAsIfLost() {
         for (int i = 1; i <= 30; i++) {
--- a/gateway/src/main/java/org/citrontide/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/caller/CallerConnection.java
@@ -33,8 +33,8 @@
  * A caller's connection, which reads complete requests, dispatches one at a time, and writes the responses in order.
  *
  * <p>Invariants: a response is sent only to the current request; an aborted response closes the connection, so that the
- * caller can't mistake it for a complete one; a connection is idle only once its responses are written. Not thread-safe:
- * owned by the event loop.
+ * caller can't mistake it for a complete one; a connection is idle only once its responses are written. Not
+ * thread-safe: owned by the event loop.
  */
 public final class CallerConnection extends ChannelInboundHandlerAdapter {
     // Callers send one request at a time; one that pipelines more than this is treated as abusive and disconnected.
@@ -101,6 +101,15 @@
         channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(data)));
     }
 
+    /**
+     * Returns whether the caller reads fast enough for more chunks.
+     *
+     * @return false if chunks pile up, until {@link CallerListener#callerWritable} is called
+     */
+    public boolean isWritable() {
+        return channel.isWritable();
+    }
+
     /** Ends the body of a streamed response that is complete. */
     public void endResponse() {
         streaming = false;
@@ -143,6 +152,13 @@
         interrupted.ifPresent(server.listener()::callerDisconnected);
     }
 
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        if (channel.isWritable()) {
+            current.ifPresent(server.listener()::callerWritable);
+        }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         ctx.close();
--- a/gateway/src/main/java/org/citrontide/gateway/caller/CallerListener.java
+++ b/gateway/src/main/java/org/citrontide/gateway/caller/CallerListener.java
@@ -17,6 +17,13 @@
      */
     void callerDisconnected(CallerRequest request);
 
+    /**
+     * Handles that a caller has read enough for its response to go on.
+     *
+     * @param request the current request of the connection
+     */
+    void callerWritable(CallerRequest request);
+
     /**
      * Returns whether each connection is to be closed after its next response.
      *
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
@@ -261,6 +261,22 @@
         }
         startResponse(exchange, attempt.head().orElseThrow());
         exchange.caller.connection().writeChunk(events);
+        if (!exchange.caller.connection().isWritable()) {
+            setReading(attempt, false);
+        }
+    }
+
+    @Override
+    public void callerWritable(CallerRequest request) {
+        Optional.ofNullable(idByRequest.get(request))
+                .flatMap(id -> openById.get(id).attempt)
+                .filter(attempt -> openByAttempt.containsKey(attempt.number()))
+                .ifPresent(attempt -> setReading(attempt, true));
+    }
+
+    private void setReading(UpstreamAttempt attempt, boolean isReading) {
+        connectionPool.setReading(attempt, isReading);
+        handle(new GatewayEvent.ReadingPaused(attempt.number(), !isReading));
     }
 
     @Override
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
@@ -85,6 +85,11 @@
         return channel.isActive() && (timeoutAnnounced || !atMostOnce) && usableUntilNanos - nowNanos > needed;
     }
 
+    /** Starts or stops reading the response, which the upstream then stops sending. */
+    void setReading(boolean isReading) {
+        channel.config().setAutoRead(isReading);
+    }
+
     void close() {
         current = Optional.empty();
         channel.close();
@@ -214,6 +219,7 @@
         attempt.setEnded();
         pool.releaseMemory(attempt);
         if (keepAlive) {
+            setReading(true);
             pool.addIdle(this);
         } else {
             channel.close();
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnectionPool.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnectionPool.java
@@ -74,6 +74,16 @@
         attempt.connection().ifPresent(UpstreamConnection::close);
     }
 
+    /**
+     * Starts or stops reading the response to an attempt.
+     *
+     * @param attempt an attempt that has not ended
+     * @param isReading whether the response is read
+     */
+    public void setReading(UpstreamAttempt attempt, boolean isReading) {
+        attempt.connection().ifPresent(connection -> connection.setReading(isReading));
+    }
+
     /**
      * Returns the number of connections opened since the start.
      *
--- a/gateway/src/test/java/org/citrontide/gateway/EndlessResponseTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/EndlessResponseTest.java
@@ -4,7 +4,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 
+import org.citrontide.fakes.platform.FakeHttpUpstream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -87,6 +89,28 @@
         }
     }
 
+    // Guards against events that pile up in the process while their caller does not read them.
+    @ParameterizedTest
+    @ValueSource(strings = {"id: %d\ndata: %s\n\n", ": %d %s\n\n"})
+    void endlessStreamWaitsForItsCaller(String event) throws IOException {
+        AtomicLong written = new AtomicLong();
+        FakeHttpUpstream u = addUpstream("a", (r, reply) -> {
+            reply.writeHead("200 OK", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
+            for (int i = 1; ; i++) {
+                String text = event.formatted(i, "x".repeat(8000));
+                reply.writeChunk(text);
+                written.addAndGet(text.length());
+            }
+        });
+        try (RawCaller c = RawCaller.withSmallReceiveBuffer(callerPort)) {
+            c.sendRequest("POST", "/stream/", "id-1", "");
+            pause(2500);
+            assertTrue(written.get() > 100_000, "sent " + written + " bytes");
+            assertTrue(written.get() < 2 * RESPONSE_MEMORY_BYTES, "the gateway took " + written + " bytes");
+        }
+        await("the attempt ends with its caller", () -> u.openConnections() == 0);
+    }
+
     private long responseBytes() {
         return metrics()
                 .lines()
