--- a/core/src/test/java/org/citrontide/core/gateway/StopScheduleTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/StopScheduleTest.java
@@ -42,6 +42,18 @@
         assertTrue(schedule.isLimitReached(millis(7500)));
     }
 
+    // Guards against a stop that accepts requests until it is killed where the time to stop is short.
+    @Test
+    void acceptsRequestsOfAnyDeadlineForAThirdOfAShortLimit() {
+        StopSchedule schedule = new StopSchedule(0, Duration.ofMillis(3000));
+        assertTrue(schedule.accepts(millis(60_000), millis(999)));
+        assertFalse(schedule.accepts(millis(60_000), millis(1000)));
+        assertTrue(schedule.accepts(millis(2800), millis(2700)));
+        assertFalse(schedule.accepts(millis(2801), millis(2700)));
+        assertFalse(schedule.isNoticeOver(millis(2999)));
+        assertTrue(schedule.isNoticeOver(millis(3000)));
+    }
+
     private static long millis(long ms) {
         return Duration.ofMillis(ms).toNanos();
     }
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewaySettings.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewaySettings.java
@@ -53,6 +53,11 @@
     private static final double DEFAULT_LINK_MBPS = 100;
     private static final int MAX_STOP_MS = 3_600_000;
     private static final int DEFAULT_STOP_MS = 8000;
+    private static final double MIN_KILL_S = 1;
+    private static final double MAX_KILL_S = 3600;
+    private static final double MILLIS_PER_SECOND = 1000;
+    // Time that the process takes to exit after its stop, on a small share of a core.
+    private static final Duration EXIT_MARGIN = Duration.ofMillis(500);
     private static final int MIN_CHANGE_MS = 1000;
     private static final int MAX_CHANGE_MS = 60_000;
     private static final int DEFAULT_CHANGE_MS = 2000;
@@ -93,7 +98,7 @@
         List<InetSocketAddress> peers = ProcessSettings.readAddresses(root, "peers");
         int connections = root.integer("max_connections", 1, MAX_CONNECTIONS, DEFAULT_CONNECTIONS);
         double link = root.decimal("link_mbps", MIN_LINK_MBPS, MAX_LINK_MBPS, DEFAULT_LINK_MBPS);
-        Duration stop = root.milliseconds("stop_limit_ms", 0, MAX_STOP_MS, DEFAULT_STOP_MS);
+        Duration stop = readStopLimit(root);
         Duration change = root.milliseconds("change_limit_ms", MIN_CHANGE_MS, MAX_CHANGE_MS, DEFAULT_CHANGE_MS);
         double ratio = root.decimal("repeat_ratio", 0, 1, DEFAULT_RATIO);
         Duration window = root.milliseconds("repeat_window_ms", 1, MAX_WINDOW_MS, DEFAULT_WINDOW_MS);
@@ -119,6 +124,18 @@
                 (long) responseMemory * BYTES_PER_KB));
     }
 
+    /** Reads the time limit of a stop, which ends before the process is killed. */
+    private static Duration readStopLimit(TomlSection root) {
+        Duration limit = root.milliseconds("stop_limit_ms", 0, MAX_STOP_MS, DEFAULT_STOP_MS);
+        double killSeconds = root.decimal("kill_after_s", MIN_KILL_S, MAX_KILL_S, Double.POSITIVE_INFINITY);
+        if (Double.isInfinite(killSeconds)) {
+            return limit;
+        }
+        Duration untilKill =
+                Duration.ofMillis((long) (killSeconds * MILLIS_PER_SECOND)).minus(EXIT_MARGIN);
+        return untilKill.compareTo(limit) < 0 || !root.names().contains("stop_limit_ms") ? untilKill : limit;
+    }
+
     private static int defaultResponseMemoryKb() {
         long kb = Runtime.getRuntime().maxMemory() / RESPONSE_HEAP_DIVISOR / BYTES_PER_KB;
         return (int) Math.min(MAX_RESPONSE_MEMORY_KB, kb);
--- /dev/null
+++ b/gateway/src/test/java/org/citrontide/gateway/daemon/GatewaySettingsTest.java
@@ -0,0 +1,43 @@
+package org.citrontide.gateway.daemon;
+
+import java.time.Duration;
+
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+final class GatewaySettingsTest {
+    private static final String REQUIRED = """
+            vm = "vm1"
+            zone = "z1"
+            caller_address = "127.0.0.1:8001"
+            admin_address = "127.0.0.1:8002"
+            store_address = "127.0.0.1:8003"
+            """;
+
+    // Guards against a process that is killed while it still waits for its requests.
+    @Test
+    void aStopEndsBeforeTheProcessIsKilled() {
+        assertEquals(Duration.ofMillis(7500), stopLimit("kill_after_s = 8\n"));
+        assertEquals(Duration.ofMillis(4500), stopLimit("kill_after_s = 5\n"));
+        assertEquals(Duration.ofMillis(19_750), stopLimit("kill_after_s = 20.25\n"));
+        assertEquals(Duration.ofMillis(3000), stopLimit("kill_after_s = 8\nstop_limit_ms = 3000\n"));
+        assertEquals(Duration.ofMillis(4500), stopLimit("kill_after_s = 5\nstop_limit_ms = 9000\n"));
+        assertEquals(Duration.ofMillis(8000), stopLimit(""));
+    }
+
+    @Test
+    void aTimeUntilTheKillThatIsTooShortIsAViolation() {
+        assertTrue(GatewaySettings.parse("f", REQUIRED + "kill_after_s = 0.4\n")
+                .value()
+                .isEmpty());
+    }
+
+    private static Duration stopLimit(String lines) {
+        return GatewaySettings.parse("f", REQUIRED + lines)
+                .value()
+                .orElseThrow()
+                .stopLimit();
+    }
+}
