--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
@@ -262,19 +262,27 @@
         startResponse(exchange, attempt.head().orElseThrow());
         exchange.caller.connection().writeChunk(events);
         if (!exchange.caller.connection().isWritable()) {
-            setReading(attempt, false);
+            setReading(exchange, attempt, false);
         }
     }
 
     @Override
     public void callerWritable(CallerRequest request) {
-        Optional.ofNullable(idByRequest.get(request))
-                .flatMap(id -> openById.get(id).attempt)
-                .filter(attempt -> openByAttempt.containsKey(attempt.number()))
-                .ifPresent(attempt -> setReading(attempt, true));
+        Long id = idByRequest.get(request);
+        if (id != null) {
+            OpenExchange exchange = openById.get(id);
+            exchange.attempt
+                    .filter(attempt -> findExchange(attempt) == exchange)
+                    .ifPresent(attempt -> setReading(exchange, attempt, true));
+        }
     }
 
-    private void setReading(UpstreamAttempt attempt, boolean isReading) {
+    private void setReading(OpenExchange exchange, UpstreamAttempt attempt, boolean isReading) {
+        if (exchange.isReadingPaused != isReading) {
+            return;
+        }
+        exchange.isReadingPaused = !isReading;
+        log.logReadingChange(exchange, attempt, isReading);
         connectionPool.setReading(attempt, isReading);
         handle(new GatewayEvent.ReadingPaused(attempt.number(), !isReading));
     }
@@ -401,6 +409,7 @@
                 route.isStreaming(),
                 !route.isRetryable());
         exchange.attempt = Optional.of(attempt);
+        exchange.isReadingPaused = false;
         openByAttempt.put(attempt.number(), exchange);
         metrics.recordAttempt(send.request().service());
         log.logRetry(exchange, attempt, send.remaining());
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/OpenExchange.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/OpenExchange.java
@@ -19,6 +19,9 @@
     boolean responseStarted;
     int attempts;
 
+    /** Whether the response to the latest attempt is not read because the caller is slow. */
+    boolean isReadingPaused;
+
     /** Time from the arrival of the request to its first attempt, empty before that. */
     Optional<Duration> timeToFirstAttempt = Optional.empty();
 
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/RequestLog.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/RequestLog.java
@@ -159,6 +159,16 @@
                 .write();
     }
 
+    void logReadingChange(OpenExchange exchange, UpstreamAttempt attempt, boolean isReading) {
+        if (failureLimiter.tryAcquire(System.nanoTime())) {
+            LOG.info(isReading ? "response-resumed" : "response-paused")
+                    .with("id", attemptId(exchange.caller))
+                    .with("upstream", attempt.upstream().id())
+                    .with("age-ms", ageMillis(exchange))
+                    .write();
+        }
+    }
+
     void logSpeedChange(String upstream, double previous, double slowness) {
         LOG.info("upstream-speed")
                 .with("upstream", upstream)
