--- a/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
@@ -65,7 +65,7 @@
         this.roster = new GatewayRoster(settings.vm());
         this.loop = loop;
         this.shell = shell;
-        PlatformClient client = new PlatformClient(loop);
+        PlatformClient client = PlatformClient.forStore(loop);
         this.mirror = new StoreMirror(
                 client, settings.storeAddress(), settings.peers(), settings.changeLimit(), loop, random, this);
         this.crashEvidence = new CrashEvidenceStore(
@@ -77,7 +77,10 @@
                 new LeaderElection(client, settings.storeAddress(), loop, candidacyDelay, settings.vm(), this);
         this.registration = new GatewayRegistration(client, settings.storeAddress(), loop, random, settings.vm());
         this.mapControllers = new MapControllerShell(
-                client, loop, leaderElection::checkLease, new OrderTimeouts(settings.linkMegabitsPerSecond()));
+                PlatformClient.forEngines(loop),
+                loop,
+                leaderElection::checkLease,
+                new OrderTimeouts(settings.linkMegabitsPerSecond()));
     }
 
     void start() {
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
@@ -92,7 +92,7 @@
         this.dispatcher = dispatcher;
         this.responseMemory = responseMemory;
         this.connectionPool = new UpstreamConnectionPool(loop, this, responseMemory);
-        this.reports = new ReportReader(new PlatformClient(loop));
+        this.reports = new ReportReader(PlatformClient.forEngines(loop));
         this.checker = new UpstreamChecker(loop);
         this.random = random;
         this.metrics = metrics;
--- a/gateway/src/main/java/org/citrontide/gateway/store/PlatformClient.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/PlatformClient.java
@@ -45,19 +45,38 @@
 public final class PlatformClient {
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(1000);
     // The longest response is a page of the store, which holds about a megabyte before encoding.
-    private static final int MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
+    private static final int MAX_STORE_RESPONSE_BYTES = 8 * 1024 * 1024;
+    // The longest response is the counts of all experts: 60 sets of 384 numbers of up to ten digits have 250 KB.
+    private static final int MAX_ENGINE_RESPONSE_BYTES = 512 * 1024;
 
     private final EventLoop loop;
+    private final int maxResponseBytes;
     private final Map<InetSocketAddress, Deque<Connection>> idleConnections = new HashMap<>();
     private long callCount;
 
+    private PlatformClient(EventLoop loop, int maxResponseBytes) {
+        this.loop = loop;
+        this.maxResponseBytes = maxResponseBytes;
+    }
+
     /**
-     * Creates a client without connections.
+     * Creates a client without connections for calls to the store and to other gateways.
      *
      * @param loop event loop that runs all calls
+     * @return the client
      */
-    public PlatformClient(EventLoop loop) {
-        this.loop = loop;
+    public static PlatformClient forStore(EventLoop loop) {
+        return new PlatformClient(loop, MAX_STORE_RESPONSE_BYTES);
+    }
+
+    /**
+     * Creates a client without connections for calls to engines, whose responses are short.
+     *
+     * @param loop event loop that runs all calls
+     * @return the client
+     */
+    public static PlatformClient forEngines(EventLoop loop) {
+        return new PlatformClient(loop, MAX_ENGINE_RESPONSE_BYTES);
     }
 
     /**
@@ -125,10 +144,7 @@
                     @Override
                     protected void initChannel(Channel c) {
                         c.pipeline()
-                                .addLast(
-                                        new HttpClientCodec(),
-                                        new HttpObjectAggregator(MAX_RESPONSE_BYTES),
-                                        connection);
+                                .addLast(new HttpClientCodec(), new HttpObjectAggregator(maxResponseBytes), connection);
                     }
                 });
         ChannelFuture connecting = bootstrap.connect(address);
--- a/gateway/src/test/java/org/citrontide/gateway/store/CrashEvidenceStoreTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/store/CrashEvidenceStoreTest.java
@@ -24,7 +24,7 @@
         try (FakePlatformStore store = new FakePlatformStore()) {
             store.setMode(FakePlatformStore.Mode.REFUSING);
             EventLoop loop = group.next();
-            PlatformClient client = new PlatformClient(loop);
+            PlatformClient client = PlatformClient.forStore(loop);
             CrashEvidenceStore evidence = new CrashEvidenceStore(
                     client, new InetSocketAddress("127.0.0.1", store.port()), List.of(), loop, "vm1", all -> {});
             for (int i = 0; i < OBSERVATIONS; i++) {
--- a/gateway/src/test/java/org/citrontide/gateway/store/PlatformClientTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/store/PlatformClientTest.java
@@ -38,7 +38,7 @@
         })) {
             InetSocketAddress address = address(engine);
             EventLoop loop = loops.next();
-            PlatformClient client = new PlatformClient(loop);
+            PlatformClient client = PlatformClient.forEngines(loop);
             for (int i = 0; i < ORDERS; i++) {
                 assertEquals(202, status(loop, () -> client.call(address, order("prepare"), TIMEOUT)));
                 assertEquals(409, status(loop, () -> client.callOnNewConnection(address, order("arm"), TIMEOUT)));
@@ -62,7 +62,7 @@
         })) {
             InetSocketAddress address = address(engine);
             EventLoop loop = loops.next();
-            PlatformClient client = new PlatformClient(loop);
+            PlatformClient client = PlatformClient.forEngines(loop);
             PlatformCall whole = new PlatformCall("GET", "/whole", new byte[0]);
             PlatformCall reset = new PlatformCall("GET", "/reset", new byte[0]);
             assertEquals(200, status(loop, () -> client.call(address, whole, TIMEOUT)));
@@ -74,6 +74,30 @@
         }
     }
 
+    // Guards against an engine whose endless responses take up the memory of a page of the store each.
+    @Test
+    void responseOfAnEngineIsLimitedToTheSizeOfItsDocuments() throws Exception {
+        MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        try (FakeHttpUpstream engine = new FakeHttpUpstream("a", (r, reply) -> {
+            int bytes = Integer.parseInt(r.requestLine().split("[/ ]")[2]);
+            reply.write("HTTP/1.1 200 OK\r\nContent-Length: " + bytes + "\r\n\r\n" + "1".repeat(bytes));
+        })) {
+            InetSocketAddress address = address(engine);
+            EventLoop loop = loops.next();
+            PlatformClient engines = PlatformClient.forEngines(loop);
+            PlatformClient store = PlatformClient.forStore(loop);
+            PlatformCall counts = PlatformCall.get("/250000");
+            PlatformCall page = PlatformCall.get("/2000000");
+            assertEquals(200, status(loop, () -> engines.call(address, counts, TIMEOUT)));
+            assertEquals(200, status(loop, () -> store.call(address, page, TIMEOUT)));
+            ExecutionException failure = assertThrows(
+                    ExecutionException.class, () -> status(loop, () -> engines.call(address, page, TIMEOUT)));
+            assertInstanceOf(IOException.class, failure.getCause());
+        } finally {
+            loops.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+        }
+    }
+
     private static InetSocketAddress address(FakeHttpUpstream engine) {
         String entry = engine.entry("svc", "ready");
         int port = Integer.parseInt(entry.replaceAll(".*127.0.0.1:([0-9]+).*", "$1"));
--- a/gateway/src/test/java/org/citrontide/gateway/store/StoreMirrorTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/store/StoreMirrorTest.java
@@ -73,7 +73,7 @@
         EventLoop loop = loops.next();
         InetSocketAddress address = new InetSocketAddress("127.0.0.1", store.port());
         StoreMirror mirror = new StoreMirror(
-                new PlatformClient(loop),
+                PlatformClient.forStore(loop),
                 address,
                 List.of(),
                 Duration.ofSeconds(2),
