--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
@@ -27,7 +28,8 @@
  * the first one of a connection, because a later one may repeat the response to an earlier request; a response without
  * an attempt in flight closes the connection; a response whose end is decoded after the channel was closed is
  * incomplete, because the channel stays open when the upstream ends the connection (half-closure) and is closed by a
- * reset, a failed write or the gateway itself. Not thread-safe: owned by the event loop.
+ * reset or the gateway itself; after a failed write only a response with a length can be complete, because the write
+ * consumes the error of the socket and a reset then reads like an end. Not thread-safe: owned by the event loop.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
     private static final EventLog LOG = EventLog.of(UpstreamConnection.class);
@@ -38,6 +40,8 @@
     private static final Duration KEEP_ALIVE_MARGIN = Duration.ofMillis(700);
     // Used if the upstream announces no timeout, since it may then close an idle connection at any time.
     private static final Duration UNANNOUNCED_KEEP_ALIVE = Duration.ofMillis(300);
+    // What arrived before a write failed is read at once; this only bounds the wait if nothing did.
+    private static final Duration READ_AFTER_FAILED_WRITE = Duration.ofMillis(100);
 
     private final UpstreamConnectionPool pool;
     private final UpstreamResponseDecoder decoder;
@@ -48,7 +52,9 @@
     private boolean isReused;
     private boolean skippingResponse;
     private boolean hasSkippedResponse;
+    private boolean isFramed;
     private boolean keepAlive;
+    private boolean writeFailed;
     private long usableUntilNanos;
     private boolean timeoutAnnounced;
 
@@ -73,7 +79,7 @@
         attempt.setConnection(this);
         skippingResponse = false;
         decoder.expectResponseTo(attempt.request().method().name());
-        channel.writeAndFlush(attempt.request());
+        channel.writeAndFlush(attempt.request()).addListener(f -> handleWritten(attempt, f.isSuccess()));
     }
 
     /**
@@ -127,6 +133,19 @@
         ctx.close();
     }
 
+    /** Closes the connection after a failed write, once the response that may have arrived before it has been read. */
+    private void handleWritten(UpstreamAttempt attempt, boolean isWritten) {
+        if (isWritten || !channel.isActive()) {
+            return;
+        }
+        writeFailed = true;
+        LOG.info("request-unsent")
+                .with("upstream", attempt.upstream().id())
+                .with("id", attempt.attemptId())
+                .write();
+        channel.eventLoop().schedule(() -> channel.close(), READ_AFTER_FAILED_WRITE.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
     private void handleHead(HttpResponse response) {
         if (response.decoderResult().isFailure() || current.isEmpty()) {
             failAttempt(Reason.ANSWER_BROKEN);
@@ -147,8 +166,8 @@
             return;
         }
         attempt.setHead(new ResponseHead(response.status().code(), response.headers()));
-        boolean isFramed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
-        keepAlive = HttpUtil.isKeepAlive(response) && isFramed && !hasSkippedResponse;
+        isFramed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
+        keepAlive = HttpUtil.isKeepAlive(response) && isFramed && !hasSkippedResponse && !writeFailed;
         updateKeepAlive(response);
         pool.listener().headReceived(attempt);
     }
@@ -211,7 +230,8 @@
     }
 
     private void endAttempt(UpstreamAttempt attempt) {
-        if (!channel.isActive()) {
+        boolean isEndUncertain = writeFailed && !isFramed;
+        if (!channel.isActive() || isEndUncertain) {
             failAttempt(Reason.CONNECTION_LOST);
             return;
         }
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnectionPool.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnectionPool.java
@@ -153,6 +153,7 @@
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                .option(ChannelOption.AUTO_CLOSE, false)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- a/gateway/src/test/java/org/citrontide/gateway/UnframedResponseTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/UnframedResponseTest.java
@@ -68,6 +68,25 @@
         assertEquals(502, response.status());
     }
 
+    // Guards against complete responses that are lost because the rest of their request can't be sent.
+    @ParameterizedTest
+    @ValueSource(strings = {"/book/", "/look/", "/stream/"})
+    void responseWithLengthThatArrivesBeforeAResetIsDelivered(String target) throws IOException {
+        start((r, reply) -> {
+            reply.readBody(BYTES_BEFORE_RESPONSE);
+            reply.writeHead(
+                    "200 OK", "Content-Type: text/event-stream\r\nContent-Length: " + FIRST_EVENT.length() + "\r\n");
+            reply.write(FIRST_EVENT);
+            throw new IOException("the connection is closed with unread bytes");
+        });
+        for (int i = 0; i < REQUESTS; i++) {
+            RawCaller.Response response = post(target, "id-" + i);
+            assertEquals(200, response.status(), "request " + i);
+            assertTrue(response.isComplete());
+            assertEquals(FIRST_EVENT, response.body());
+        }
+    }
+
     private void start(FakeHttpUpstream.Script script) throws IOException {
         add(FakeHttpUpstream.respondingBeforeBody("a", script));
         add(FakeHttpUpstream.respondingBeforeBody("b", script));
