--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
@@ -29,7 +29,8 @@
  * an attempt in flight closes the connection; a response whose end is decoded after the channel was closed is
  * incomplete, because the channel stays open when the upstream ends the connection (half-closure) and is closed by a
  * reset or the gateway itself; after a failed write only a response with a length can be complete, because the write
- * consumes the error of the socket and a reset then reads like an end. Not thread-safe: owned by the event loop.
+ * consumes the error of the socket and a reset then reads like an end; a connection is reused only once its request is
+ * written. Not thread-safe: owned by the event loop.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
     private static final EventLog LOG = EventLog.of(UpstreamConnection.class);
@@ -54,6 +55,7 @@
     private boolean hasSkippedResponse;
     private boolean isFramed;
     private boolean keepAlive;
+    private boolean requestWritten;
     private boolean writeFailed;
     private long usableUntilNanos;
     private boolean timeoutAnnounced;
@@ -78,6 +80,7 @@
         current = Optional.of(attempt);
         attempt.setConnection(this);
         skippingResponse = false;
+        requestWritten = false;
         decoder.expectResponseTo(attempt.request().method().name());
         channel.writeAndFlush(attempt.request()).addListener(f -> handleWritten(attempt, f.isSuccess()));
     }
@@ -135,6 +138,7 @@
 
     /** Closes the connection after a failed write, once the response that may have arrived before it has been read. */
     private void handleWritten(UpstreamAttempt attempt, boolean isWritten) {
+        requestWritten = isWritten;
         if (isWritten || !channel.isActive()) {
             return;
         }
@@ -167,7 +171,7 @@
         }
         attempt.setHead(new ResponseHead(response.status().code(), response.headers()));
         isFramed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
-        keepAlive = HttpUtil.isKeepAlive(response) && isFramed && !hasSkippedResponse && !writeFailed;
+        keepAlive = HttpUtil.isKeepAlive(response) && isFramed && !hasSkippedResponse;
         updateKeepAlive(response);
         pool.listener().headReceived(attempt);
     }
@@ -238,7 +242,7 @@
         current = Optional.empty();
         attempt.setEnded();
         pool.releaseMemory(attempt);
-        if (keepAlive) {
+        if (keepAlive && requestWritten) {
             setReading(true);
             pool.addIdle(this);
         } else {
--- a/gateway/src/test/java/org/citrontide/gateway/UnframedResponseTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/UnframedResponseTest.java
@@ -87,6 +87,30 @@
         }
     }
 
+    // Guards against a request that is sent behind the rest of an earlier one, which its upstream may never read.
+    @Test
+    void connectionWhoseRequestIsPartlyUnsentIsNotReused() throws IOException {
+        start((r, reply) -> {
+            if (r.header("Content-Length").equals("0")) {
+                reply.writeResponse("200 OK", "small");
+                return;
+            }
+            reply.readBody(BYTES_BEFORE_RESPONSE);
+            reply.writeResponse("200 OK", "early");
+            pause(100);
+            throw new IOException("the connection is closed with unread bytes");
+        });
+        for (int i = 0; i < REQUESTS; i++) {
+            assertEquals("early", post("/book/", "large-" + i).body());
+            try (RawCaller caller = new RawCaller(callerPort)) {
+                caller.sendRequest("POST", "/book/", "small-" + i, "");
+                RawCaller.Response response = caller.readResponse();
+                assertEquals(200, response.status());
+                assertEquals("small", response.body());
+            }
+        }
+    }
+
     private void start(FakeHttpUpstream.Script script) throws IOException {
         add(FakeHttpUpstream.respondingBeforeBody("a", script));
         add(FakeHttpUpstream.respondingBeforeBody("b", script));
