--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
@@ -23,6 +23,7 @@
 import org.citrontide.gateway.caller.CallerServer;
 import org.citrontide.gateway.dispatch.GatewayMetrics;
 import org.citrontide.gateway.dispatch.GatewayShell;
+import org.citrontide.gateway.upstream.ResponseFaults;
 
 /** Provides the objects of {@link GatewayComponent}. Used once, when the process starts. */
 @Module
@@ -87,7 +88,8 @@
                 eventLoops.next(),
                 r,
                 new GatewayMetrics(registry, settings.maxTeamLabels()),
-                new ResponseMemory(settings.responseMemoryBytes()));
+                new ResponseMemory(settings.responseMemoryBytes()),
+                new ResponseFaults(registry));
     }
 
     @Provides
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
@@ -36,6 +36,7 @@
 import org.citrontide.gateway.store.PlatformClient;
 import org.citrontide.gateway.upstream.AttemptListener;
 import org.citrontide.gateway.upstream.ReportReader;
+import org.citrontide.gateway.upstream.ResponseFaults;
 import org.citrontide.gateway.upstream.ResponseHead;
 import org.citrontide.gateway.upstream.UpstreamAttempt;
 import org.citrontide.gateway.upstream.UpstreamChecker;
@@ -82,16 +83,18 @@
      * @param random source of randomness for the choice among the services of split routes
      * @param metrics metrics to update
      * @param responseMemory limits the memory for incomplete responses
+     * @param responseFaults counts and logs bytes of upstreams that belong to no response
      */
     public GatewayShell(
             GatewayDispatcher dispatcher,
             EventLoop loop,
             RandomGenerator random,
             GatewayMetrics metrics,
-            ResponseMemory responseMemory) {
+            ResponseMemory responseMemory,
+            ResponseFaults responseFaults) {
         this.dispatcher = dispatcher;
         this.responseMemory = responseMemory;
-        this.connectionPool = new UpstreamConnectionPool(loop, this, responseMemory);
+        this.connectionPool = new UpstreamConnectionPool(loop, this, responseMemory, responseFaults);
         this.reports = new ReportReader(PlatformClient.forEngines(loop));
         this.checker = new UpstreamChecker(loop);
         this.random = random;
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/RequestLog.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/RequestLog.java
@@ -65,6 +65,8 @@
                     .with("id", attemptId(exchange.caller))
                     .with("service", exchange.request.service())
                     .with("upstream", attempt.upstream().id())
+                    .with("connection", attempt.connectionNumber())
+                    .with("reused", attempt.isOnReusedConnection())
                     .with(
                             "status",
                             attempt.head()
@@ -91,6 +93,14 @@
                 .with("team", exchange.request.team())
                 .with("rank", exchange.request.rank())
                 .with("upstream", exchange.attempt.map(a -> a.upstream().id()).orElse("none"))
+                .with(
+                        "connection",
+                        exchange.attempt.map(UpstreamAttempt::connectionNumber).orElse(0L))
+                .with(
+                        "reused",
+                        exchange.attempt
+                                .map(UpstreamAttempt::isOnReusedConnection)
+                                .orElse(false))
                 .with("attempts", exchange.attempts)
                 .with(
                         "waited-ms",
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamAttempt.java
@@ -20,6 +20,7 @@
     private final ResponseBody body = new ResponseBody();
     private Optional<ResponseHead> head = Optional.empty();
     private Optional<UpstreamConnection> connection = Optional.empty();
+    private boolean onReusedConnection;
     private boolean ended;
 
     /**
@@ -93,6 +94,24 @@
                 && head.filter(h -> h.status() / 100 == 2 && h.isStamped()).isPresent();
     }
 
+    /**
+     * Returns the number of the connection of the attempt.
+     *
+     * @return number that is unique within a process, 0 if the attempt has no connection
+     */
+    public long connectionNumber() {
+        return connection.map(UpstreamConnection::number).orElse(0L);
+    }
+
+    /**
+     * Returns whether an earlier attempt was sent on the connection.
+     *
+     * @return false before this attempt is sent
+     */
+    public boolean isOnReusedConnection() {
+        return onReusedConnection;
+    }
+
     int bodyLength() {
         return body.size();
     }
@@ -130,6 +149,10 @@
         return connection;
     }
 
+    void setOnReusedConnection(boolean isReused) {
+        onReusedConnection = isReused;
+    }
+
     void setConnection(UpstreamConnection newConnection) {
         connection = Optional.of(newConnection);
     }
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
@@ -17,7 +17,10 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.citrontide.core.gateway.AttemptOutcome;
+import org.citrontide.core.routes.ListedUpstream;
 import org.citrontide.core.verdict.Reason;
+import org.citrontide.gateway.http.MalformedResponseException;
+import org.citrontide.gateway.http.UnexpectedBytes;
 import org.citrontide.platform.PlatformHeaders;
 import org.citrontide.runtime.log.EventLog;
 
@@ -46,7 +49,8 @@
 
     private final UpstreamConnectionPool pool;
     private final UpstreamResponseDecoder decoder;
-    private final String poolKey;
+    private final ListedUpstream upstream;
+    private final long number;
     private Channel channel;
     private Optional<UpstreamAttempt> current = Optional.empty();
     private boolean usedBefore;
@@ -57,17 +61,26 @@
     private boolean keepAlive;
     private boolean requestWritten;
     private boolean writeFailed;
+    private boolean hasBeenIdle;
+    private long endedNanos;
     private long usableUntilNanos;
     private boolean timeoutAnnounced;
 
-    UpstreamConnection(UpstreamConnectionPool pool, UpstreamResponseDecoder decoder, String poolKey) {
+    UpstreamConnection(
+            UpstreamConnectionPool pool, UpstreamResponseDecoder decoder, ListedUpstream upstream, long number) {
         this.pool = pool;
         this.decoder = decoder;
-        this.poolKey = poolKey;
+        this.upstream = upstream;
+        this.number = number;
     }
 
     String poolKey() {
-        return poolKey;
+        return upstream.instanceKey();
+    }
+
+    /** Returns the number of the connection, unique within a process. */
+    long number() {
+        return number;
     }
 
     void setChannel(Channel newChannel) {
@@ -79,7 +92,9 @@
         usedBefore = true;
         current = Optional.of(attempt);
         attempt.setConnection(this);
+        attempt.setOnReusedConnection(isReused);
         skippingResponse = false;
+        hasBeenIdle = false;
         requestWritten = false;
         decoder.expectResponseTo(attempt.request().method().name());
         channel.writeAndFlush(attempt.request()).addListener(f -> handleWritten(attempt, f.isSuccess()));
@@ -107,6 +122,9 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         try {
+            if (message instanceof UnexpectedBytes bytes) {
+                handleUnexpectedBytes(bytes.count());
+            }
             if (message instanceof HttpResponse response) {
                 handleHead(response);
             }
@@ -150,7 +168,17 @@
         channel.eventLoop().schedule(() -> channel.close(), READ_AFTER_FAILED_WRITE.toMillis(), TimeUnit.MILLISECONDS);
     }
 
+    private void handleUnexpectedBytes(int bytes) {
+        Duration idle = Duration.ofNanos(System.nanoTime() - endedNanos);
+        pool.faults().recordUnexpectedBytes(upstream.id(), number, bytes, hasBeenIdle, idle);
+    }
+
     private void handleHead(HttpResponse response) {
+        if (response.decoderResult().isFailure()) {
+            String reason =
+                    MalformedResponseException.reasonOf(response.decoderResult().cause());
+            current.ifPresent(attempt -> pool.faults().recordRejected(attempt, reason, requestWritten));
+        }
         if (response.decoderResult().isFailure() || current.isEmpty()) {
             failAttempt(Reason.ANSWER_BROKEN);
             channel.close();
@@ -242,8 +270,14 @@
         current = Optional.empty();
         attempt.setEnded();
         pool.releaseMemory(attempt);
+        endedNanos = System.nanoTime();
+        decoder.expectNoResponse();
+        if (decoder.unreadBytes() > 0) {
+            handleUnexpectedBytes(decoder.unreadBytes());
+        }
         if (keepAlive && requestWritten) {
             setReading(true);
+            hasBeenIdle = true;
             pool.addIdle(this);
         } else {
             channel.close();
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnectionPool.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnectionPool.java
@@ -32,6 +32,7 @@
     private final EventLoopGroup loop;
     private final AttemptListener listener;
     private final ResponseMemory responseMemory;
+    private final ResponseFaults faults;
     private final Map<String, Deque<UpstreamConnection>> idleByKey = new HashMap<>();
     private final Map<Long, UpstreamAttempt> keptByNumber = new HashMap<>();
     private long openedCount;
@@ -42,11 +43,14 @@
      * @param loop event loop of all connections
      * @param listener receives the progress of the attempts
      * @param responseMemory limits the memory for incomplete responses
+     * @param faults counts and logs bytes that belong to no response
      */
-    public UpstreamConnectionPool(EventLoopGroup loop, AttemptListener listener, ResponseMemory responseMemory) {
+    public UpstreamConnectionPool(
+            EventLoopGroup loop, AttemptListener listener, ResponseMemory responseMemory, ResponseFaults faults) {
         this.loop = loop;
         this.listener = listener;
         this.responseMemory = responseMemory;
+        this.faults = faults;
     }
 
     /**
@@ -97,6 +101,10 @@
         return listener;
     }
 
+    ResponseFaults faults() {
+        return faults;
+    }
+
     /** Records memory for the response of an attempt, and drops the largest responses if there is too little. */
     void recordMemory(UpstreamAttempt attempt, int bytes) {
         keptByNumber.put(attempt.number(), attempt);
@@ -145,8 +153,7 @@
     private void connect(UpstreamAttempt attempt) {
         openedCount++;
         UpstreamResponseDecoder decoder = new UpstreamResponseDecoder();
-        UpstreamConnection connection =
-                new UpstreamConnection(this, decoder, attempt.upstream().instanceKey());
+        UpstreamConnection connection = new UpstreamConnection(this, decoder, attempt.upstream(), openedCount);
         Bootstrap bootstrap = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
