--- a/gateway/src/main/java/org/citrontide/gateway/upstream/EventStreamMerger.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/EventStreamMerger.java
@@ -3,24 +3,29 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
  * Merges the server-sent events that the attempts of one request return into a single stream without duplicates.
  *
- * <p>Invariants: the numbers of the returned events increase by one each; no event is returned in part; at most
- * {@value #MAX_EVENT_BYTES} bytes of an incomplete event are kept. Not thread-safe.
+ * <p>Invariants: the numbers of the returned events increase by one each; no event is returned in part, and
+ * each has lines of one event only, from one attempt; an event without a number has no unknown fields, because these
+ * may be a field that begins with stray bytes; at most {@value #MAX_EVENT_BYTES} bytes of an incomplete event are kept.
+ * Not thread-safe.
  */
 public final class EventStreamMerger {
     // A faulty upstream may send bytes without end that contain no event.
     private static final int MAX_EVENT_BYTES = 256 * 1024;
-    private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] BYTE_ORDER_MARK = "\ufeff".getBytes(StandardCharsets.UTF_8);
 
     private byte[] partialEvent = new byte[0];
     private OptionalLong lastEventId = OptionalLong.empty();
     private boolean hasEvents;
     private boolean hasGap;
     private boolean isOversized;
+    private boolean isSpoiled;
+    private boolean isFirstEvent = true;
 
     /** Whether events of an earlier attempt have been returned. */
     private boolean isResumed;
@@ -55,6 +60,8 @@
         partialEvent = new byte[0];
         hasGap = false;
         isOversized = false;
+        isSpoiled = false;
+        isFirstEvent = true;
     }
 
     /**
@@ -77,12 +84,12 @@
 
     /**
      * Returns whether the current attempt can't continue the stream, because an event is missing, has no place in the
-     * order of the events, or is too large.
+     * order of the events, is too large, or has lines that are not those of one event.
      *
      * @return true if the attempt is to be cancelled
      */
     public boolean isBroken() {
-        return hasGap || isOversized;
+        return hasGap || isOversized || isSpoiled;
     }
 
     /**
@@ -95,12 +102,20 @@
     }
 
     private boolean accept(byte[] all, int start, int end) {
-        if (isComment(all, start, end)) {
-            return !hasGap;
+        Optional<ServerSentEvent> event = ServerSentEvent.parse(all, start + markLength(all, start), end);
+        isSpoiled |= event.isEmpty();
+        if (isBroken()) {
+            return false;
         }
-        OptionalLong id = parseId(all, start, end);
-        boolean isUnplaceable =
-                id.isEmpty() ? lastEventId.isPresent() || isResumed : isResumed && lastEventId.isEmpty();
+        isFirstEvent = false;
+        return event.get().isComment() || accept(event.get());
+    }
+
+    private boolean accept(ServerSentEvent event) {
+        OptionalLong id = event.number();
+        boolean isUnplaceable = id.isEmpty()
+                ? lastEventId.isPresent() || isResumed || event.hasUnknownField()
+                : isResumed && lastEventId.isEmpty();
         hasGap |= isUnplaceable;
         if (hasGap) {
             return false;
@@ -119,16 +134,17 @@
         return !hasGap;
     }
 
-    /** Returns whether each line of an event is a comment or empty. */
-    private static boolean isComment(byte[] all, int start, int end) {
-        boolean isLineStart = true;
-        for (int i = start; i < end; i++) {
-            if (isLineStart && all[i] != ':' && all[i] != '\n' && all[i] != '\r') {
-                return false;
-            }
-            isLineStart = all[i] == '\n';
-        }
-        return true;
+    /** Returns the length of the byte order mark that a stream may begin with. */
+    private int markLength(byte[] all, int start) {
+        boolean hasMark = isFirstEvent
+                && Arrays.equals(
+                        all,
+                        start,
+                        Math.min(all.length, start + BYTE_ORDER_MARK.length),
+                        BYTE_ORDER_MARK,
+                        0,
+                        BYTE_ORDER_MARK.length);
+        return hasMark ? BYTE_ORDER_MARK.length : 0;
     }
 
     /** Returns the position after the blank line that ends the event, or -1 if the event is incomplete. */
@@ -147,32 +163,6 @@
         return -1;
     }
 
-    private static OptionalLong parseId(byte[] all, int start, int end) {
-        int lineStart = start;
-        while (lineStart < end) {
-            int lineEnd = lineStart;
-            while (lineEnd < end && all[lineEnd] != '\n') {
-                lineEnd++;
-            }
-            if (startsWithIdField(all, lineStart, lineEnd)) {
-                String value = new String(
-                                all,
-                                lineStart + ID_FIELD.length,
-                                lineEnd - lineStart - ID_FIELD.length,
-                                StandardCharsets.US_ASCII)
-                        .trim();
-                return value.matches("[0-9]{1,18}") ? OptionalLong.of(Long.parseLong(value)) : OptionalLong.empty();
-            }
-            lineStart = lineEnd + 1;
-        }
-        return OptionalLong.empty();
-    }
-
-    private static boolean startsWithIdField(byte[] all, int from, int to) {
-        return to - from >= ID_FIELD.length
-                && Arrays.equals(all, from, from + ID_FIELD.length, ID_FIELD, 0, ID_FIELD.length);
-    }
-
     private static byte[] concatenate(byte[] a, byte[] b) {
         byte[] all = Arrays.copyOf(a, a.length + b.length);
         System.arraycopy(b, 0, all, a.length, b.length);
