--- a/gateway/src/main/java/org/citrontide/gateway/store/PlatformClient.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/PlatformClient.java
@@ -6,6 +6,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
@@ -22,27 +23,34 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import org.citrontide.gateway.http.MalformedResponseException;
+import org.citrontide.gateway.http.ProbedSocketChannel;
+import org.citrontide.gateway.http.ResponseDecoder;
+import org.citrontide.gateway.http.UnexpectedBytes;
 import org.citrontide.platform.PlatformCall;
+import org.citrontide.runtime.log.EventLog;
 
 /**
  * HTTP client for the platform's own interfaces. Sends one call at a time on each connection and reuses idle
  * connections.
  *
  * <p>Invariants: each future completes, at the latest after its timeout; a connection on which a call got no response
- * is not reused; a response whose end is decoded after the channel was closed is incomplete, because the channel stays
+ * is not reused, nor is one on which anything arrived behind a response; a call with bytes behind its response fails,
+ * because responses have no IDs and the first may repeat that to an earlier call; a response whose end is decoded after the channel was closed is incomplete, because the channel stays
  * open when the server ends the connection (half-closure). Not thread-safe: confined to the event loop.
  */
 public final class PlatformClient {
+    private static final EventLog LOG = EventLog.of(PlatformClient.class);
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(1000);
     // The longest response is a page of the store, which holds about a megabyte before encoding.
     private static final int MAX_STORE_RESPONSE_BYTES = 8 * 1024 * 1024;
@@ -93,7 +101,7 @@
         Deque<Connection> connections = idleConnections.getOrDefault(address, new ArrayDeque<>());
         while (!connections.isEmpty()) {
             Connection c = connections.removeFirst();
-            if (c.channel.isActive()) {
+            if (c.isReusable()) {
                 c.send(call, response);
                 scheduleTimeout(timeout, response, c);
                 return response;
@@ -133,10 +141,11 @@
             PlatformCall call,
             Duration timeout,
             CompletableFuture<PlatformResponse> response) {
-        Connection connection = new Connection(address);
+        ResponseDecoder decoder = new ResponseDecoder(List.of());
+        Connection connection = new Connection(address, decoder);
         Bootstrap bootstrap = new Bootstrap()
                 .group(loop)
-                .channel(NioSocketChannel.class)
+                .channel(ProbedSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis())
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
@@ -144,14 +153,18 @@
                     @Override
                     protected void initChannel(Channel c) {
                         c.pipeline()
-                                .addLast(new HttpClientCodec(), new HttpObjectAggregator(maxResponseBytes), connection);
+                                .addLast(
+                                        new HttpRequestEncoder(),
+                                        decoder,
+                                        new HttpObjectAggregator(maxResponseBytes),
+                                        connection);
                     }
                 });
         ChannelFuture connecting = bootstrap.connect(address);
         scheduleTimeout(timeout, response, connection);
         connecting.addListener(f -> {
             if (f.isSuccess()) {
-                connection.channel = connecting.channel();
+                connection.channel = (ProbedSocketChannel) connecting.channel();
                 connection.sendUnlessDone(call, response);
             } else {
                 response.completeExceptionally(new IOException("can't connect to " + address, f.cause()));
@@ -167,13 +180,31 @@
     }
 
     /** A connection that carries one call at a time. */
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final class Connection extends SimpleChannelInboundHandler<Object> {
         private final InetSocketAddress address;
-        private Channel channel;
+        private final ResponseDecoder decoder;
+        private ProbedSocketChannel channel;
         private CompletableFuture<PlatformResponse> pendingResponse;
 
-        private Connection(InetSocketAddress address) {
+        private Connection(InetSocketAddress address, ResponseDecoder decoder) {
             this.address = address;
+            this.decoder = decoder;
+        }
+
+        /** Returns whether a call may be sent; closes the connection if anything arrived since the last response. */
+        private boolean isReusable() {
+            if (!channel.isActive()) {
+                return false;
+            }
+            int arrivedBytes = channel.probe();
+            if (arrivedBytes == 0 && decoder.isAtBoundary()) {
+                return true;
+            }
+            if (arrivedBytes > 0) {
+                logDrop("bytes-before-call");
+            }
+            channel.close();
+            return false;
         }
 
         private void send(PlatformCall call, CompletableFuture<PlatformResponse> response) {
@@ -189,6 +220,7 @@
             }
             call.headers().forEach(r.headers()::set);
             HttpUtil.setContentLength(r, call.body().length);
+            decoder.expectResponseTo(call.method());
             channel.writeAndFlush(r);
         }
 
@@ -201,28 +233,57 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse r) {
-            CompletableFuture<PlatformResponse> response = pendingResponse;
-            pendingResponse = null;
-            if (response == null || r.decoderResult().isFailure()) {
-                ctx.close();
-                fail(response, "malformed response");
+        protected void channelRead0(ChannelHandlerContext ctx, Object message) {
+            switch (message) {
+                case UnexpectedBytes b -> drop("bytes-without-call");
+                case FullHttpResponse r -> handleResponse(r);
+                default -> throw new IllegalArgumentException("unknown message " + message);
+            }
+        }
+
+        private void handleResponse(FullHttpResponse r) {
+            if (r.decoderResult().isFailure()) {
+                drop(MalformedResponseException.reasonOf(r.decoderResult().cause()));
                 return;
             }
-            if (!ctx.channel().isActive()) {
-                fail(response, "connection lost within the response");
+            if (r.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
                 return;
             }
+            if (pendingResponse == null || !channel.isActive()) {
+                fail(pendingResponse, "connection lost within the response");
+                return;
+            }
+            if (decoder.unreadBytes() > 0 || channel.probe() > 0) {
+                // No ID tells which of the two is the response to the call.
+                drop("bytes-after-response");
+                return;
+            }
+            CompletableFuture<PlatformResponse> response = pendingResponse;
+            pendingResponse = null;
             if (HttpUtil.isKeepAlive(r)) {
                 idleConnections
                         .computeIfAbsent(address, a -> new ArrayDeque<>())
                         .addFirst(this);
             } else {
-                ctx.close();
+                channel.close();
             }
             response.complete(new PlatformResponse(r.status().code(), ByteBufUtil.getBytes(r.content())));
         }
 
+        /** Closes a connection that can't be read any more. */
+        private void drop(String reason) {
+            logDrop(reason);
+            channel.close();
+            fail(pendingResponse, "malformed response, " + reason);
+        }
+
+        private void logDrop(String reason) {
+            LOG.warn("platform-connection-dropped")
+                    .with("address", address)
+                    .with("why", reason)
+                    .write();
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             idleConnections.getOrDefault(address, new ArrayDeque<>()).remove(this);
--- a/gateway/src/test/java/org/citrontide/gateway/store/PlatformClientTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/store/PlatformClientTest.java
@@ -33,6 +33,8 @@
         try (FakeHttpUpstream engine = new FakeHttpUpstream("a", (r, reply) -> {
             if (!answeredConnections.add(Thread.currentThread())) {
                 writeStatus(reply, "202 Accepted");
+                // A response by itself; one that arrives with the next fails the call.
+                TimeUnit.MILLISECONDS.sleep(20);
             }
             writeStatus(reply, r.body().contains("prepare") ? "202 Accepted" : "409 Conflict");
         })) {
