--- a/gateway/src/main/java/org/citrontide/gateway/upstream/ServerSentEvent.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/ServerSentEvent.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.regex.Pattern;
 
 import org.citrontide.platform.PlatformHeaders;
 
@@ -19,14 +20,17 @@
     private static final Set<String> KNOWN_FIELDS =
             Set.of(ID, "data", "event", "retry", PlatformHeaders.EVENT_WEIGHT_VERSIONS);
 
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[0-9] [0-9]{3}");
+
     /**
      * Parses an event.
      *
      * @param bytes bytes that contain the event
      * @param start position of its first line
      * @param end position after the blank line that ends it
-     * @return the event, empty if a line is no line of an event stream, such as a status line, or if the event has more
-     *     than one ID and so the lines of several events
+     * @return the event, empty if a line is no line of an event stream, such as a status line, if the event has more than
+     *     one ID and so the lines of several events, or if a status line and fields unknown in event streams show that
+     *     it goes on with the head of a response
      */
     static Optional<ServerSentEvent> parse(byte[] bytes, int start, int end) {
         // Each byte is one character, so that no byte is lost.
@@ -53,6 +57,9 @@
                 number = parseNumber(line.substring(Math.min(line.length(), name.length() + 1)));
             }
         }
+        if (hasUnknownField && STATUS_LINE.matcher(text).find()) {
+            return Optional.empty();
+        }
         return Optional.of(new ServerSentEvent(number, isComment, hasUnknownField));
     }
 
