--- a/core/src/main/java/org/citrontide/core/gateway/GatewayAction.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayAction.java
@@ -2,11 +2,13 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalDouble;
 
 import org.citrontide.core.quarantine.CrashEvidence;
 import org.citrontide.core.quarantine.PromptQuarantine;
 import org.citrontide.core.routes.ListedUpstream;
+import org.citrontide.core.verdict.Reason;
 import org.citrontide.core.verdict.Verdict;
 
 /** An action that a {@link GatewayDispatcher} requests from its shell. Immutable. */
@@ -20,11 +22,35 @@
      * @param upstream upstream to send the attempt to
      * @param remaining time remaining until the deadline of the request
      * @param admissionRank rank in the admission order of the upstream, 0 first
+     * @param retry why the request is sent again, empty for its first attempt and for one that replaces an attempt
+     *     whose upstream was unreachable
      */
     record SendAttempt(
-            GatewayRequest request, long attempt, ListedUpstream upstream, Duration remaining, int admissionRank)
+            GatewayRequest request,
+            long attempt,
+            ListedUpstream upstream,
+            Duration remaining,
+            int admissionRank,
+            Optional<Retry> retry)
             implements GatewayAction {}
 
+    /**
+     * Why a request is sent again, and the retry budget that allowed it.
+     *
+     * @param reason why the earlier attempt is not enough
+     * @param budget the retry budget of the service, after this retry
+     */
+    record Retry(Reason reason, RetryBudgetState budget) {}
+
+    /**
+     * Reports that a request could have been sent again if the retry budget were not exhausted. Occurs at most once for
+     * a request.
+     *
+     * @param request the request
+     * @param retry why the request would have been sent again, and the budget that denied it
+     */
+    record ReportRetryDenied(GatewayRequest request, Retry retry) implements GatewayAction {}
+
     /**
      * Cancels an attempt whose response is no longer needed.
      *
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
@@ -43,8 +43,7 @@
     private final UpstreamRegistry registry = new UpstreamRegistry();
     private final UpstreamSelector selector;
     private final RetryAfterPolicy retryAfterPolicy;
-    private final Supplier<GatewayRetryBudget> retryBudgetFactory;
-    private final Map<String, ServiceState> services = new HashMap<>();
+    private final ServiceStates services;
     private final SpeedMonitor speedMonitor = new SpeedMonitor();
     private final CrashGuard crashGuard = new CrashGuard();
     private final GroupHealth groupHealth = new GroupHealth();
@@ -64,7 +63,7 @@
     public GatewayDispatcher(String zone, Supplier<GatewayRetryBudget> retryBudgetFactory, RandomGenerator random) {
         this.selector = new UpstreamSelector(zone, random);
         this.retryAfterPolicy = new RetryAfterPolicy(random);
-        this.retryBudgetFactory = retryBudgetFactory;
+        this.services = new ServiceStates(retryBudgetFactory);
     }
 
     /**
@@ -107,16 +106,18 @@
         return openById.size();
     }
 
-    private ServiceState service(String name) {
-        return services.computeIfAbsent(name, s -> new ServiceState(retryBudgetFactory.get()));
-    }
-
-    private ServiceState service(OpenGatewayRequest open) {
-        return service(open.request.service());
+    /**
+     * Returns the retry budgets.
+     *
+     * @param nowNanos monotonic time in ns
+     * @return state of the budget by service
+     */
+    public Map<String, RetryBudgetState> retryBudgets(long nowNanos) {
+        return services.retryBudgets(nowNanos);
     }
 
     private AdmissionQueue queue(OpenGatewayRequest open) {
-        return service(open).queue;
+        return services.of(open).queue;
     }
 
     /** Handles one event and collects the resulting actions. */
@@ -129,7 +130,7 @@
         }
 
         private void handleRequestArrived(GatewayRequest request) {
-            service(request.service()).retryBudget.recordRequest(nowNanos);
+            services.of(request.service()).retryBudget.recordRequest(nowNanos);
             OpenGatewayRequest open = new OpenGatewayRequest(request);
             openById.put(request.id(), open);
             byDeadline.add(request);
@@ -164,7 +165,7 @@
 
         private void sendWaiting(AdmissionQueue queue) {
             for (OpenGatewayRequest open : queue.pollSendable(nowNanos)) {
-                if (open.attemptCount == 0 || tryRetry(open)) {
+                if (open.attemptCount == 0 || tryRetry(open, Reason.NO_UPSTREAM)) {
                     send(open, Reason.NO_UPSTREAM);
                 } else {
                     fail(open, Reason.NO_UPSTREAM);
@@ -196,8 +197,7 @@
             byAttempt.put(number, open);
             upstream.recordAttemptSent(selector.slots(), nowNanos);
             queue(open).recordSent(open.attempt.get(), request, nowNanos);
-            actions.add(new GatewayAction.SendAttempt(
-                    request, number, upstream.entry(), remaining, request.admissionRank(nowNanos)));
+            actions.add(open.sendAction(remaining, nowNanos));
         }
 
         private void handleHeadReceived(GatewayEvent.HeadReceived head) {
@@ -224,7 +224,7 @@
                 attempt.isStarted = true;
                 attempt.upstream.recordStarted();
                 attempt.startedNanos = nowNanos;
-                service(open).stallDetector.recordFirstEvent(nowNanos - attempt.sentNanos);
+                services.of(open).stallDetector.recordFirstEvent(nowNanos - attempt.sentNanos);
             }
             crashGuard.recordProgress(open.request, attempt, nowNanos, actions);
             open.isResponseStarted |= progress.isResponseStarted();
@@ -315,13 +315,13 @@
         private void recordResponse(OpenGatewayRequest.Attempt attempt) {
             groupHealth.recordResponse(attempt.upstream, attempt.sentNanos);
             String service = attempt.upstream.entry().service();
-            if (service(service).queue.recordResponse(attempt.sentNanos, nowNanos)) {
+            if (services.of(service).queue.recordResponse(attempt.sentNanos, nowNanos)) {
                 reportGroupState(service);
             }
         }
 
         private void reportGroupState(String service) {
-            AdmissionQueue queue = service(service).queue;
+            AdmissionQueue queue = services.of(service).queue;
             actions.add(new GatewayAction.ReportGroupState(service, queue.isDown(), queue.size()));
         }
 
@@ -341,7 +341,7 @@
                 case AttemptOutcome.Completed c -> deliver(open, attempt);
                 case AttemptOutcome.Failed f -> {
                     open.mayHaveRunReason = Optional.of(Reason.ANSWER_BROKEN);
-                    if (open.request.route().isRetryable() && tryRetry(open)) {
+                    if (open.request.route().isRetryable() && tryRetry(open, Reason.ANSWER_BROKEN)) {
                         send(open, Reason.ANSWER_BROKEN);
                     } else if (open.isResponseStarted) {
                         fail(open, Reason.ANSWER_BROKEN);
@@ -408,12 +408,12 @@
             return selector.select(groupHealth.selectable(all, nowNanos), open.triedIds, nowNanos);
         }
 
-        private boolean tryRetry(OpenGatewayRequest open) {
-            return canRetry(open) && service(open).retryBudget.tryRetry(nowNanos);
+        private boolean tryRetry(OpenGatewayRequest open, Reason reason) {
+            return canRetry(open) && services.of(open).trySpendRetry(open, reason, nowNanos, actions);
         }
 
         private void retryOrFail(OpenGatewayRequest open, Reason reason) {
-            if (tryRetry(open)) {
+            if (tryRetry(open, reason)) {
                 send(open, reason);
             } else {
                 fail(open, reason);
@@ -464,7 +464,7 @@
                     retryElsewhere(open);
                 }
             }
-            services.values().forEach(s -> tick(s.queue));
+            services.all().forEach(s -> tick(s.queue));
             actions.addAll(groupHealth.tick(registry, nowNanos));
             crashGuard.tick(nowNanos, actions);
         }
@@ -480,12 +480,12 @@
                 return false;
             }
             OpenGatewayRequest.Attempt attempt = open.attempt.get();
-            return service(open).isSilentForTooLong(open.request.route(), attempt, nowNanos)
+            return services.of(open).isSilentForTooLong(open.request.route(), attempt, nowNanos)
                     && registry.hasOtherActive(attempt.upstream, nowNanos);
         }
 
         private void retryElsewhere(OpenGatewayRequest open) {
-            if (!service(open).retryBudget.tryRetry(nowNanos)) {
+            if (!services.of(open).trySpendRetry(open, Reason.CONNECTION_LOST, nowNanos, actions)) {
                 return;
             }
             OpenGatewayRequest.Attempt attempt = open.attempt.orElseThrow();
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayRetryBudget.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayRetryBudget.java
@@ -50,16 +50,29 @@
      * @return false if the budget of the window is exhausted
      */
     public boolean tryRetry(long nowNanos) {
-        removeExpired(requestNanos, nowNanos);
-        removeExpired(retryNanos, nowNanos);
-        double limit = ratio * expectedRequests(nowNanos) + slack.retriesPerWindow();
-        if (retryNanos.size() + 1 > USABLE_FRACTION * limit) {
+        if (retryNanos.size() + 1 > state(nowNanos).limit()) {
             return false;
         }
         retryNanos.add(nowNanos);
         return true;
     }
 
+    /**
+     * Returns what the budget allows and what of it is spent.
+     *
+     * @param nowNanos monotonic time in ns
+     * @return the state of the window that ends now
+     */
+    public RetryBudgetState state(long nowNanos) {
+        removeExpired(requestNanos, nowNanos);
+        removeExpired(retryNanos, nowNanos);
+        long requests = expectedRequests(nowNanos);
+        double ratioPart = ratio * requests;
+        double slackPart = slack.retriesPerWindow();
+        double limit = USABLE_FRACTION * (ratioPart + slackPart);
+        return new RetryBudgetState(requests, ratioPart, slackPart, limit, retryNanos.size(), slack.gateways());
+    }
+
     /**
      * Returns the number of requests to expect in a window around now. A retry also counts in the windows that end
      * later, which have fewer requests after a burst.
--- a/core/src/main/java/org/citrontide/core/gateway/OpenGatewayRequest.java
+++ b/core/src/main/java/org/citrontide/core/gateway/OpenGatewayRequest.java
@@ -1,5 +1,6 @@
 package org.citrontide.core.gateway;
 
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -60,6 +61,12 @@
     /** Number of attempts, without those whose upstream was unreachable. */
     int attemptCount;
 
+    /** The last retry that the budget allowed, until its attempt is sent. */
+    Optional<GatewayAction.Retry> pendingRetry = Optional.empty();
+
+    /** Whether it was reported that the budget denied a retry. */
+    boolean isDenialReported;
+
     /** Reason why an earlier attempt may have run, empty if none may have. */
     Optional<Reason> mayHaveRunReason = Optional.empty();
 
@@ -73,6 +80,15 @@
         this.request = request;
     }
 
+    /** Returns the action that sends the attempt in flight. */
+    GatewayAction.SendAttempt sendAction(Duration remaining, long nowNanos) {
+        Attempt sent = attempt.orElseThrow();
+        Optional<GatewayAction.Retry> retry = pendingRetry;
+        pendingRetry = Optional.empty();
+        return new GatewayAction.SendAttempt(
+                request, sent.number, sent.upstream.entry(), remaining, request.admissionRank(nowNanos), retry);
+    }
+
     /** Returns the verdict, or one that says so if an earlier attempt may have run. */
     private Verdict finalVerdict(Verdict.NotRun notRun) {
         if (mayHaveRunReason.isEmpty()) {
--- a/core/src/main/java/org/citrontide/core/gateway/RetrySlackShare.java
+++ b/core/src/main/java/org/citrontide/core/gateway/RetrySlackShare.java
@@ -32,6 +32,15 @@
         gateways = Math.max(MIN_GATEWAYS, count);
     }
 
+    /**
+     * Returns the number of gateways that the slack is divided by.
+     *
+     * @return number of gateways, at least a lower bound that applies while few are known
+     */
+    public int gateways() {
+        return gateways;
+    }
+
     /**
      * Returns this gateway's share.
      *
--- a/core/src/main/java/org/citrontide/core/gateway/ServiceState.java
+++ b/core/src/main/java/org/citrontide/core/gateway/ServiceState.java
@@ -1,8 +1,11 @@
 package org.citrontide.core.gateway;
 
 import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
 
 import org.citrontide.core.routes.Route;
+import org.citrontide.core.verdict.Reason;
 
 /** What a dispatcher keeps for one service. Not thread-safe. */
 final class ServiceState {
@@ -17,6 +20,21 @@
         this.retryBudget = retryBudget;
     }
 
+    /** Spends a retry if the budget allows it, and reports the first one that it denies to a request. */
+    boolean trySpendRetry(OpenGatewayRequest open, Reason reason, long nowNanos, List<GatewayAction> actions) {
+        boolean isAllowed = retryBudget.tryRetry(nowNanos);
+        if (isAllowed || !open.isDenialReported) {
+            GatewayAction.Retry retry = new GatewayAction.Retry(reason, retryBudget.state(nowNanos));
+            if (isAllowed) {
+                open.pendingRetry = Optional.of(retry);
+            } else {
+                open.isDenialReported = true;
+                actions.add(new GatewayAction.ReportRetryDenied(open.request, retry));
+            }
+        }
+        return isAllowed;
+    }
+
     /** Returns whether an attempt has been without bytes for so long that it is considered lost. */
     boolean isSilentForTooLong(Route route, OpenGatewayRequest.Attempt attempt, long nowNanos) {
         long silentNanos = nowNanos - Math.max(attempt.progressNanos, attempt.upstream.lastProgressNanos());
--- /dev/null
+++ b/core/src/main/java/org/citrontide/core/gateway/ServiceStates.java
@@ -0,0 +1,34 @@
+package org.citrontide.core.gateway;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Supplier;
+
+/** What a dispatcher keeps for each service that got a request. Not thread-safe. */
+final class ServiceStates {
+    private final Supplier<GatewayRetryBudget> retryBudgetFactory;
+    private final Map<String, ServiceState> byName = new HashMap<>();
+
+    ServiceStates(Supplier<GatewayRetryBudget> retryBudgetFactory) {
+        this.retryBudgetFactory = retryBudgetFactory;
+    }
+
+    ServiceState of(String name) {
+        return byName.computeIfAbsent(name, s -> new ServiceState(retryBudgetFactory.get()));
+    }
+
+    ServiceState of(OpenGatewayRequest open) {
+        return of(open.request.service());
+    }
+
+    Collection<ServiceState> all() {
+        return byName.values();
+    }
+
+    Map<String, RetryBudgetState> retryBudgets(long nowNanos) {
+        Map<String, RetryBudgetState> states = new HashMap<>();
+        byName.forEach((name, s) -> states.put(name, s.retryBudget.state(nowNanos)));
+        return states;
+    }
+}
--- a/core/src/test/java/org/citrontide/core/gateway/CrashingPromptSimulation.java
+++ b/core/src/test/java/org/citrontide/core/gateway/CrashingPromptSimulation.java
@@ -272,6 +272,9 @@
                 case GatewayAction.ReportGroupState n -> {
                     // Affects only the log.
                 }
+                case GatewayAction.ReportRetryDenied d -> {
+                    // Affects only the log.
+                }
                 case GatewayAction.ReportQuarantine q -> {
                     // Affects only the log.
                 }
--- a/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherFaultTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherFaultTest.java
@@ -237,6 +237,9 @@
                         evidence.add(p.evidence());
                         handle(new GatewayEvent.CrashEvidenceUpdated(evidence));
                     }
+                    case GatewayAction.ReportRetryDenied d -> {
+                        // Affects only the log.
+                    }
                     case GatewayAction.ReportQuarantine q -> {
                         // Affects only the log.
                     }
--- a/core/src/test/java/org/citrontide/core/gateway/GroupOutageSimulation.java
+++ b/core/src/test/java/org/citrontide/core/gateway/GroupOutageSimulation.java
@@ -242,6 +242,9 @@
                 case GatewayAction.ReportRateLimit l -> throw new AssertionError("no upstream has named a limit");
                 case GatewayAction.CheckUpstream c -> throw new AssertionError("no prompt has a shared part");
                 case GatewayAction.PublishEvidence c -> throw new AssertionError("no upstream was checked");
+                case GatewayAction.ReportRetryDenied d -> {
+                    // Affects only the log.
+                }
                 case GatewayAction.ReportQuarantine c -> throw new AssertionError("no part is suspected");
                 case GatewayAction.CancelAttempt c -> liveAttempts.get(g).remove(c.attempt());
             }
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayMetrics.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayMetrics.java
@@ -1,21 +1,36 @@
 package org.citrontide.gateway.dispatch;
 
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import io.netty.channel.EventLoop;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.citrontide.core.gateway.GatewayAction;
+import org.citrontide.core.gateway.RetryBudgetState;
+import org.citrontide.runtime.eventloop.GuardedTask;
 import org.citrontide.runtime.metrics.TeamLabels;
 
 /** The metrics of a gateway. Thread-safe. */
 public final class GatewayMetrics {
     private static final double[] BUCKET_BOUNDS_SECONDS = {0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8};
     private static final double NANOS_PER_SECOND = 1e9;
+    // Counting the requests of a window on each tick would cost more than the gauges are worth.
+    private static final Duration BUDGET_INTERVAL = Duration.ofSeconds(1);
 
     private final TeamLabels teams;
     private final Histogram requestSeconds;
     private final Histogram firstByteSeconds;
     private final Counter outcomes;
     private final Counter attempts;
+    private final Counter retries;
+    private final Counter retriesDenied;
+    private final Gauge retryLimitGauge;
+    private final Gauge retriesSpentGauge;
     private final Gauge openRequestsGauge;
     private final Gauge versionGauge;
     private final Gauge responseBytesGauge;
@@ -40,6 +55,12 @@
                 .help("Attempts sent to upstreams")
                 .labelNames("service")
                 .register(registry);
+        retries = retryCounter(registry, "citrontide_gateway_retries", "Retries sent to upstreams");
+        retriesDenied =
+                retryCounter(registry, "citrontide_gateway_retries_denied", "Requests whose retry the budget denied");
+        retryLimitGauge = serviceGauge(
+                registry, "citrontide_gateway_retry_limit", "Retries that the budget allows in the present window");
+        retriesSpentGauge = serviceGauge(registry, "citrontide_gateway_retries_spent", "Retries of the present window");
         openRequestsGauge = gauge(registry, "citrontide_gateway_open_requests", "Requests without a final answer");
         versionGauge = gauge(registry, "citrontide_gateway_configuration_version", "Version in force");
         responseBytesGauge =
@@ -55,8 +76,30 @@
         outcomes.labelValues(service, outcome, reason).inc();
     }
 
-    void recordAttempt(String service) {
+    void recordAttempt(GatewayAction.SendAttempt send) {
+        String service = send.request().service();
         attempts.labelValues(service).inc();
+        send.retry()
+                .ifPresent(r -> retries.labelValues(service, r.reason().key()).inc());
+    }
+
+    void recordRetryDenied(GatewayAction.ReportRetryDenied denied) {
+        retriesDenied
+                .labelValues(denied.request().service(), denied.retry().reason().key())
+                .inc();
+    }
+
+    /** Starts to update the gauges of the retry budgets on an event loop. */
+    void scheduleRetryBudgets(EventLoop loop, Supplier<Map<String, RetryBudgetState>> budgets) {
+        Runnable update = new GuardedTask("retry-budget-metrics", () -> recordRetryBudgets(budgets.get()));
+        loop.scheduleAtFixedRate(update, BUDGET_INTERVAL.toMillis(), BUDGET_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void recordRetryBudgets(Map<String, RetryBudgetState> budgets) {
+        budgets.forEach((service, state) -> {
+            retryLimitGauge.labelValues(service).set(state.limit());
+            retriesSpentGauge.labelValues(service).set(state.spent());
+        });
     }
 
     void recordState(int openRequests, long configurationVersion, long responseBytes) {
@@ -75,6 +118,18 @@
                 .register(registry);
     }
 
+    private static Counter retryCounter(PrometheusRegistry registry, String name, String help) {
+        return Counter.builder()
+                .name(name)
+                .help(help)
+                .labelNames("service", "reason")
+                .register(registry);
+    }
+
+    private static Gauge serviceGauge(PrometheusRegistry registry, String name, String help) {
+        return Gauge.builder().name(name).help(help).labelNames("service").register(registry);
+    }
+
     private static Gauge gauge(PrometheusRegistry registry, String name, String help) {
         return Gauge.builder().name(name).help(help).register(registry);
     }
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
@@ -10,7 +10,6 @@
 import java.util.random.RandomGenerator;
 
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpHeaders;
 import org.citrontide.core.expertmap.RankReport;
 import org.citrontide.core.gateway.AttemptOutcome;
 import org.citrontide.core.gateway.CallerWaitEstimator;
@@ -101,6 +100,7 @@
         this.metrics = metrics;
         Runnable tick = new GuardedTask("dispatch-tick", this::tick);
         loop.scheduleAtFixedRate(tick, TICK.toMillis(), TICK.toMillis(), TimeUnit.MILLISECONDS);
+        metrics.scheduleRetryBudgets(loop, () -> dispatcher.retryBudgets(System.nanoTime()));
     }
 
     /**
@@ -217,14 +217,7 @@
             return;
         }
         OpenExchange exchange = openById.remove(id);
-        log.logRequestEnd(exchange, "caller-gone", "none", table.version());
-        metrics.recordRequestEnd(
-                exchange.request.service(),
-                exchange.request.team(),
-                exchange.request.rank(),
-                "caller-gone",
-                "none",
-                ageNanos(exchange));
+        recordRequestEnd(exchange, "caller-gone", "none");
         handle(new GatewayEvent.CallerDisconnected(id));
     }
 
@@ -381,6 +374,7 @@
                     checker.check(
                             c.upstream(), refused -> handle(new GatewayEvent.UpstreamChecked(c.upstream(), refused)));
                 case GatewayAction.PublishEvidence p -> publish(p.evidence());
+                case GatewayAction.ReportRetryDenied d -> reportRetryDenied(d);
                 case GatewayAction.ReportQuarantine q -> log.logQuarantine(q.decision());
             }
         }
@@ -402,23 +396,27 @@
         exchange.attempts++;
         exchange.timeToFirstAttempt =
                 exchange.timeToFirstAttempt.or(() -> Optional.of(Duration.ofNanos(ageNanos(exchange))));
-        Route route = send.request().route();
         UpstreamAttempt attempt = new UpstreamAttempt(
                 send.attempt(),
                 send.upstream(),
                 UpstreamRequestBuilder.build(exchange.caller, send, resumeAfter),
                 Optional.ofNullable(exchange.caller.headers().get(PlatformHeaders.ATTEMPT_ID))
                         .orElse(""),
-                route.isStreaming(),
-                !route.isRetryable());
+                send.request().route().isStreaming(),
+                !send.request().route().isRetryable());
         exchange.attempt = Optional.of(attempt);
         exchange.isReadingPaused = false;
         openByAttempt.put(attempt.number(), exchange);
-        metrics.recordAttempt(send.request().service());
-        log.logRetry(exchange, attempt, send.remaining());
+        metrics.recordAttempt(send);
+        log.logRetry(exchange, attempt, send);
         connectionPool.send(attempt);
     }
 
+    private void reportRetryDenied(GatewayAction.ReportRetryDenied denied) {
+        metrics.recordRetryDenied(denied);
+        log.logRetryDenied(openById.get(denied.request().id()), denied);
+    }
+
     private void querySpeed(ListedUpstream upstream) {
         reports.read(upstream, report -> report.ifPresent(r -> handleSpeedReport(upstream, r)));
     }
@@ -446,7 +444,7 @@
         }
         exchange.responseStarted = true;
         metrics.recordFirstByte(exchange.request.team(), exchange.request.rank(), ageNanos(exchange));
-        exchange.caller.connection().startResponse(head.status(), responseHeaders(head));
+        exchange.caller.connection().startResponse(head.status(), UpstreamRequestBuilder.copyEndToEnd(head.headers()));
     }
 
     private void deliverResponse(GatewayAction.DeliverResponse deliver) {
@@ -457,7 +455,9 @@
         if (exchange.responseStarted) {
             exchange.caller.connection().endResponse();
         } else {
-            exchange.caller.connection().sendResponse(head.status(), responseHeaders(head), attempt.body());
+            exchange.caller
+                    .connection()
+                    .sendResponse(head.status(), UpstreamRequestBuilder.copyEndToEnd(head.headers()), attempt.body());
         }
     }
 
@@ -490,10 +490,6 @@
                 ageNanos(exchange));
     }
 
-    private static HttpHeaders responseHeaders(ResponseHead head) {
-        return UpstreamRequestBuilder.copyEndToEnd(head.headers());
-    }
-
     private static long ageNanos(OpenExchange exchange) {
         return System.nanoTime() - exchange.request.arrivedNanos();
     }
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/RequestLog.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/RequestLog.java
@@ -5,9 +5,11 @@
 
 import org.citrontide.core.gateway.AttemptOutcome;
 import org.citrontide.core.gateway.GatewayAction;
+import org.citrontide.core.gateway.RetryBudgetState;
 import org.citrontide.core.quarantine.CrashEvidence;
 import org.citrontide.core.quarantine.PromptQuarantine;
 import org.citrontide.core.routes.ListedUpstream;
+import org.citrontide.core.verdict.Reason;
 import org.citrontide.core.verdict.Verdict;
 import org.citrontide.gateway.caller.CallerRequest;
 import org.citrontide.gateway.upstream.UpstreamAttempt;
@@ -28,6 +30,7 @@
     // Bounds the length of a line.
     private static final int MAX_PARTS = 8;
 
+    private final long startedNanos = System.nanoTime();
     private final LogRateLimiter successLimiter = new LogRateLimiter(LINES_PER_SECOND);
     private final LogRateLimiter failureLimiter = new LogRateLimiter(LINES_PER_SECOND);
 
@@ -43,22 +46,52 @@
         }
     }
 
-    void logRetry(OpenExchange exchange, UpstreamAttempt attempt, Duration remaining) {
-        if (exchange.attempts > 1 && failureLimiter.tryAcquire(System.nanoTime())) {
-            LOG.info("attempt-retried")
+    void logRetry(OpenExchange exchange, UpstreamAttempt attempt, GatewayAction.SendAttempt send) {
+        if (exchange.attempts <= 1 || !failureLimiter.tryAcquire(System.nanoTime())) {
+            return;
+        }
+        EventLog.Line line = LOG.info("attempt-retried")
+                .with("id", attemptId(exchange.caller))
+                .with("service", exchange.request.service())
+                .with("attempt", exchange.attempts)
+                .with("upstream", attempt.upstream().id())
+                .with("remaining-ms", send.remaining().toMillis())
+                .with(
+                        "resume-after",
+                        exchange.eventMerger.lastEventId().isPresent()
+                                ? exchange.eventMerger.lastEventId().getAsLong()
+                                : "none");
+        // An attempt whose upstream was unreachable is replaced without a retry.
+        send.retry()
+                .ifPresentOrElse(
+                        retry -> addRetry(line, retry), () -> line.with("reason", Reason.UPSTREAM_UNREACHABLE.key()));
+        line.write();
+    }
+
+    void logRetryDenied(OpenExchange exchange, GatewayAction.ReportRetryDenied denied) {
+        if (failureLimiter.tryAcquire(System.nanoTime())) {
+            EventLog.Line line = LOG.info("retry-denied")
                     .with("id", attemptId(exchange.caller))
-                    .with("attempt", exchange.attempts)
-                    .with("upstream", attempt.upstream().id())
-                    .with("remaining-ms", remaining.toMillis())
-                    .with(
-                            "resume-after",
-                            exchange.eventMerger.lastEventId().isPresent()
-                                    ? exchange.eventMerger.lastEventId().getAsLong()
-                                    : "none")
-                    .write();
+                    .with("service", exchange.request.service());
+            addRetry(line, denied.retry());
+            line.write();
         }
     }
 
+    private void addRetry(EventLog.Line line, GatewayAction.Retry retry) {
+        RetryBudgetState budget = retry.budget();
+        line.with("reason", retry.reason().key())
+                .with("budget-requests", budget.requests())
+                .with("budget-ratio-part", budget.ratioPart())
+                .with("budget-slack-part", budget.slackPart())
+                .with("budget-limit", budget.limit())
+                .with("budget-spent", budget.spent())
+                .with("gateways", budget.gateways())
+                .with(
+                        "process-age-ms",
+                        Duration.ofNanos(System.nanoTime() - startedNanos).toMillis());
+    }
+
     void logAttemptEnd(OpenExchange exchange, UpstreamAttempt attempt, AttemptOutcome outcome) {
         if (!(outcome instanceof AttemptOutcome.Completed) && failureLimiter.tryAcquire(System.nanoTime())) {
             LOG.info("attempt-failed")
