--- a/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
@@ -146,7 +146,7 @@
 
         /** Queues a request, or refuses it if it can't be sent before its caller stops waiting. */
         private void waitOrFail(OpenGatewayRequest open) {
-            if (!queue(open).tryEnqueue(open, nowNanos)) {
+            if (services.of(open).isWaitFutile(open, nowNanos) || !queue(open).tryEnqueue(open, nowNanos)) {
                 fail(open, queue(open).waitReason(nowNanos));
             }
         }
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayRetryBudget.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayRetryBudget.java
@@ -8,7 +8,8 @@
  * Limits the retries that one gateway sends to a service, so that retries don't amplify an overload.
  *
  * <p>Invariant: when a retry is spent, the retries of the window are at most the ratio times its requests, and times
- * those expected at the present rate, plus this gateway's share of the slack. Not thread-safe.
+ * those expected at the present rate, plus this gateway's share of the slack. None is spent before a whole window has
+ * passed since the process started, because its predecessor may have spent the whole budget. Not thread-safe.
  */
 public final class GatewayRetryBudget {
     // Requests leave the window before the retries that they allowed, and retries reach their upstreams later.
@@ -17,6 +18,7 @@
     private final double ratio;
     private final long windowNanos;
     private final RetrySlackShare slack;
+    private final long startNanos;
     private final Deque<Long> requestNanos = new ArrayDeque<>();
     private final Deque<Long> retryNanos = new ArrayDeque<>();
 
@@ -26,11 +28,13 @@
      * @param ratio retries allowed per request
      * @param window length of the sliding window over which requests and retries are counted
      * @param slack this gateway's share of the retries allowed per window regardless of the number of requests
+     * @param startNanos monotonic time in ns at which the process started
      */
-    public GatewayRetryBudget(double ratio, Duration window, RetrySlackShare slack) {
+    public GatewayRetryBudget(double ratio, Duration window, RetrySlackShare slack, long startNanos) {
         this.ratio = ratio;
         this.windowNanos = window.toNanos();
         this.slack = slack;
+        this.startNanos = startNanos;
     }
 
     /**
@@ -57,6 +61,16 @@
         return true;
     }
 
+    /**
+     * Returns whether any retry can be allowed.
+     *
+     * @param nowNanos monotonic time in ns
+     * @return false until no retry of an earlier process is in the window
+     */
+    public boolean isInService(long nowNanos) {
+        return nowNanos - startNanos >= windowNanos;
+    }
+
     /**
      * Returns what the budget allows and what of it is spent.
      *
@@ -69,7 +83,7 @@
         long requests = expectedRequests(nowNanos);
         double ratioPart = ratio * requests;
         double slackPart = slack.retriesPerWindow();
-        double limit = USABLE_FRACTION * (ratioPart + slackPart);
+        double limit = isInService(nowNanos) ? USABLE_FRACTION * (ratioPart + slackPart) : 0;
         return new RetryBudgetState(requests, ratioPart, slackPart, limit, retryNanos.size(), slack.gateways());
     }
 
--- a/core/src/main/java/org/citrontide/core/gateway/RetrySlackShare.java
+++ b/core/src/main/java/org/citrontide/core/gateway/RetrySlackShare.java
@@ -3,7 +3,8 @@
 /**
  * One gateway's share of the retry slack: the retries that all gateways together may send beyond the ratio.
  *
- * <p>Invariant: the shares of all gateways add up to at most the slack, provided that each gateway counts all of them.
+ * <p>Invariant: the shares of all gateways add up to at most the slack, provided that each gateway counts all of them
+ * or none. While the number of gateways is unknown, the share is empty.
  * Not thread-safe.
  */
 public final class RetrySlackShare {
@@ -12,7 +13,7 @@
     private static final int MIN_GATEWAYS = 12;
 
     private final double slack;
-    private int gateways = MIN_GATEWAYS;
+    private int gateways;
 
     /**
      * Creates a share for an unknown number of gateways.
@@ -35,7 +36,7 @@
     /**
      * Returns the number of gateways that the slack is divided by.
      *
-     * @return number of gateways, at least a lower bound that applies while few are known
+     * @return number of gateways, at least a lower bound, or 0 while it is unknown
      */
     public int gateways() {
         return gateways;
@@ -47,6 +48,6 @@
      * @return number of retries per window
      */
     public double retriesPerWindow() {
-        return slack / gateways;
+        return gateways == 0 ? 0 : slack / gateways;
     }
 }
--- a/core/src/main/java/org/citrontide/core/gateway/ServiceState.java
+++ b/core/src/main/java/org/citrontide/core/gateway/ServiceState.java
@@ -35,6 +35,11 @@
         return isAllowed;
     }
 
+    /** Returns whether a request would wait for a retry although none is allowed yet. */
+    boolean isWaitFutile(OpenGatewayRequest open, long nowNanos) {
+        return open.attemptCount > 0 && !retryBudget.isInService(nowNanos);
+    }
+
     /** Returns whether an attempt has been without bytes for so long that it is considered lost. */
     boolean isSilentForTooLong(Route route, OpenGatewayRequest.Attempt attempt, long nowNanos) {
         long silentNanos = nowNanos - Math.max(attempt.progressNanos, attempt.upstream.lastProgressNanos());
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
@@ -29,6 +29,7 @@
 @Module
 final class GatewayModule {
     private final GatewaySettings settings;
+    private final long startNanos = System.nanoTime();
     private final SplittableRandom random;
     private final BooleanSupplier ready;
 
@@ -81,7 +82,7 @@
             EventLoopGroup eventLoops, PrometheusRegistry registry, RandomGenerator r, RetrySlackShare slackShare) {
         GatewayDispatcher dispatcher = new GatewayDispatcher(
                 settings.zone(),
-                () -> new GatewayRetryBudget(settings.retryRatio(), settings.retryWindow(), slackShare),
+                () -> new GatewayRetryBudget(settings.retryRatio(), settings.retryWindow(), slackShare, startNanos),
                 random.split());
         return new GatewayShell(
                 dispatcher,
