--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayDaemon.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayDaemon.java
@@ -29,11 +29,12 @@
      *
      * @param settings settings of the gateway
      * @param seed seed of all random number generators
+     * @param startNanos monotonic time in ns at which the process started
      */
-    public GatewayDaemon(GatewaySettings settings, long seed) {
+    public GatewayDaemon(GatewaySettings settings, long seed, long startNanos) {
         this.settings = settings;
         this.component = DaggerGatewayComponent.builder()
-                .gatewayModule(new GatewayModule(settings, seed, this::isReady))
+                .gatewayModule(new GatewayModule(settings, seed, startNanos, this::isReady))
                 .build();
     }
 
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayMain.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayMain.java
@@ -58,7 +58,7 @@
         }
         GatewaySettings settings = checked.value().get();
         LogSetup.install(ROLE, settings.vm(), settings.zone());
-        GatewayDaemon daemon = new GatewayDaemon(settings, new SecureRandom().nextLong());
+        GatewayDaemon daemon = new GatewayDaemon(settings, new SecureRandom().nextLong(), System.nanoTime());
         Runtime.getRuntime()
                 .addShutdownHook(new Thread(
                         () -> {
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
@@ -29,12 +29,13 @@
 @Module
 final class GatewayModule {
     private final GatewaySettings settings;
-    private final long startNanos = System.nanoTime();
+    private final long startNanos;
     private final SplittableRandom random;
     private final BooleanSupplier ready;
 
-    GatewayModule(GatewaySettings settings, long seed, BooleanSupplier ready) {
+    GatewayModule(GatewaySettings settings, long seed, long startNanos, BooleanSupplier ready) {
         this.settings = settings;
+        this.startNanos = startNanos;
         this.random = new SplittableRandom(seed);
         this.ready = ready;
     }
--- a/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
@@ -24,8 +24,7 @@
 abstract class GatewayHarness {
     static final int RESPONSE_MEMORY_BYTES = 16 * 1024 * 1024;
 
-    // A process allows no retry in its first window; gateways are ready later than that.
-    private static final Duration RETRY_WINDOW = Duration.ofMillis(100);
+    private static final Duration RETRY_WINDOW = Duration.ofSeconds(10);
     private static final double LINK_MEGABITS_PER_SECOND = 1000;
     private static final Duration AWAIT_TIMEOUT = Duration.ofSeconds(20);
 
@@ -88,7 +87,9 @@
                         600,
                         10,
                         RESPONSE_MEMORY_BYTES),
-                1);
+                1,
+                // A process allows no retry in its first window.
+                System.nanoTime() - RETRY_WINDOW.toNanos());
     }
 
     static InetSocketAddress localAddress(int port) {
