--- a/fakes/src/main/java/org/citrontide/fakes/platform/FakeHttpUpstream.java
+++ b/fakes/src/main/java/org/citrontide/fakes/platform/FakeHttpUpstream.java
@@ -253,6 +253,8 @@
         while (!socket.isClosed()) {
             try {
                 Socket s = socket.accept();
+                // Otherwise a write soon after another one is held back until that is acknowledged.
+                s.setTcpNoDelay(true);
                 connections.add(s);
                 Thread.ofVirtual().start(() -> serve(s));
             } catch (IOException e) {
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
@@ -6,11 +6,11 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBufUtil;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -20,6 +20,8 @@
 import org.citrontide.core.routes.ListedUpstream;
 import org.citrontide.core.verdict.Reason;
 import org.citrontide.gateway.http.MalformedResponseException;
+import org.citrontide.gateway.http.ProbedSocketChannel;
+import org.citrontide.gateway.http.ResponseDecoder;
 import org.citrontide.gateway.http.UnexpectedBytes;
 import org.citrontide.platform.PlatformHeaders;
 import org.citrontide.runtime.log.EventLog;
@@ -27,13 +29,15 @@
 /**
  * One connection to an upstream, which carries one attempt at a time.
  *
- * <p>Invariants: a response that echoes the ID of another attempt is skipped; a response without an ID is taken only as
- * the first one of a connection, because a later one may repeat the response to an earlier request; a response without
- * an attempt in flight closes the connection; a response whose end is decoded after the channel was closed is
- * incomplete, because the channel stays open when the upstream ends the connection (half-closure) and is closed by a
- * reset or the gateway itself; after a failed write only a response with a length can be complete, because the write
- * consumes the error of the socket and a reset then reads like an end; a connection is reused only once its request is
- * written. Not thread-safe: owned by the event loop.
+ * <p>Invariants: a response begins with bytes that were not there when its request was sent, because a connection on
+ * which anything else arrived after a response is closed; a response that is not well-formed, or that follows an
+ * irregularity, fails the attempt as one that may have run; a response that echoes the ID of another attempt is
+ * skipped; a response without an ID is taken only as the first one of a connection, because a later one may repeat the
+ * response to an earlier request; a response without an attempt in flight closes the connection; a response whose end
+ * is decoded after the channel was closed is incomplete, because the channel stays open when the upstream ends the
+ * connection (half-closure) and is closed by a reset or the gateway itself; after a failed write only a response with a
+ * length can be complete, because the write consumes the error of the socket and a reset then reads like an end; a
+ * connection is reused only once its request is written. Not thread-safe: owned by the event loop.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
     private static final EventLog LOG = EventLog.of(UpstreamConnection.class);
@@ -48,10 +52,10 @@
     private static final Duration READ_AFTER_FAILED_WRITE = Duration.ofMillis(100);
 
     private final UpstreamConnectionPool pool;
-    private final UpstreamResponseDecoder decoder;
+    private final ResponseDecoder decoder;
     private final ListedUpstream upstream;
     private final long number;
-    private Channel channel;
+    private ProbedSocketChannel channel;
     private Optional<UpstreamAttempt> current = Optional.empty();
     private boolean usedBefore;
     private boolean isReused;
@@ -66,8 +70,7 @@
     private long usableUntilNanos;
     private boolean timeoutAnnounced;
 
-    UpstreamConnection(
-            UpstreamConnectionPool pool, UpstreamResponseDecoder decoder, ListedUpstream upstream, long number) {
+    UpstreamConnection(UpstreamConnectionPool pool, ResponseDecoder decoder, ListedUpstream upstream, long number) {
         this.pool = pool;
         this.decoder = decoder;
         this.upstream = upstream;
@@ -83,7 +86,7 @@
         return number;
     }
 
-    void setChannel(Channel newChannel) {
+    void setChannel(ProbedSocketChannel newChannel) {
         channel = newChannel;
     }
 
@@ -109,6 +112,19 @@
         return channel.isActive() && (timeoutAnnounced || !atMostOnce) && usableUntilNanos - nowNanos > needed;
     }
 
+    /** Returns whether nothing arrived since the last response; closes the connection otherwise. */
+    boolean isQuiet() {
+        int bytes = channel.probe();
+        if (bytes == 0 && decoder.isAtBoundary()) {
+            return true;
+        }
+        if (bytes > 0) {
+            handleUnexpectedBytes(bytes);
+        }
+        channel.close();
+        return false;
+    }
+
     /** Starts or stops reading the response, which the upstream then stops sending. */
     void setReading(boolean isReading) {
         channel.config().setAutoRead(isReading);
@@ -124,6 +140,7 @@
         try {
             if (message instanceof UnexpectedBytes bytes) {
                 handleUnexpectedBytes(bytes.count());
+                channel.close();
             }
             if (message instanceof HttpResponse response) {
                 handleHead(response);
@@ -173,11 +190,15 @@
         pool.faults().recordUnexpectedBytes(upstream.id(), number, bytes, hasBeenIdle, idle);
     }
 
+    private void recordRejected(HttpObject message) {
+        String reason =
+                MalformedResponseException.reasonOf(message.decoderResult().cause());
+        current.ifPresent(attempt -> pool.faults().recordRejected(attempt, reason, requestWritten));
+    }
+
     private void handleHead(HttpResponse response) {
         if (response.decoderResult().isFailure()) {
-            String reason =
-                    MalformedResponseException.reasonOf(response.decoderResult().cause());
-            current.ifPresent(attempt -> pool.faults().recordRejected(attempt, reason, requestWritten));
+            recordRejected(response);
         }
         if (response.decoderResult().isFailure() || current.isEmpty()) {
             failAttempt(Reason.ANSWER_BROKEN);
@@ -190,6 +211,9 @@
         boolean isInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         skippingResponse = isInterim || isOfAnother;
         hasSkippedResponse |= isOfAnother;
+        if (isOfAnother) {
+            decoder.skipResponse();
+        }
         if (skippingResponse) {
             return;
         }
@@ -217,6 +241,7 @@
 
     private void handleContent(HttpContent content) {
         if (content.decoderResult().isFailure()) {
+            recordRejected(content);
             failAttempt(Reason.ANSWER_BROKEN);
             channel.close();
             return;
@@ -271,11 +296,7 @@
         attempt.setEnded();
         pool.releaseMemory(attempt);
         endedNanos = System.nanoTime();
-        decoder.expectNoResponse();
-        if (decoder.unreadBytes() > 0) {
-            handleUnexpectedBytes(decoder.unreadBytes());
-        }
-        if (keepAlive && requestWritten) {
+        if (keepAlive && requestWritten && decoder.isAtBoundary()) {
             setReading(true);
             hasBeenIdle = true;
             pool.addIdle(this);
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnectionPool.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnectionPool.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -13,21 +14,27 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import org.citrontide.core.gateway.AttemptOutcome;
 import org.citrontide.core.gateway.ResponseMemory;
+import org.citrontide.gateway.http.ProbedSocketChannel;
+import org.citrontide.gateway.http.ResponseDecoder;
+import org.citrontide.platform.PlatformHeaders;
 
 /**
  * A pool of connections to upstreams, which opens connections on demand, keeps them for as long as the upstream
  * announced, and reuses the most recently used one first.
  *
  * <p>Invariant: a connection is used only for the upstream that it was opened for, even if the upstream list later
- * assigns its address to another one. Not thread-safe: owned by the event loop.
+ * assigns its address to another one; it is used again only if nothing has arrived on it since its last response. Not
+ * thread-safe: owned by the event loop.
  */
 public final class UpstreamConnectionPool {
     // Allows for several round trips between zones; a longer timeout only delays the selection of another upstream.
     private static final int CONNECT_TIMEOUT_MS = 400;
+    // A response with two of them would be made of two responses.
+    private static final List<String> SINGLE_FIELDS =
+            List.of(PlatformHeaders.ATTEMPT_ID, PlatformHeaders.RESPONSE_STAMP);
 
     private final EventLoopGroup loop;
     private final AttemptListener listener;
@@ -144,7 +151,9 @@
             UpstreamConnection connection = iterator.next();
             if (connection.isUsable(attempt.isAtMostOnce(), now)) {
                 iterator.remove();
-                return Optional.of(connection);
+                if (connection.isQuiet()) {
+                    return Optional.of(connection);
+                }
             }
         }
         return Optional.empty();
@@ -152,11 +161,11 @@
 
     private void connect(UpstreamAttempt attempt) {
         openedCount++;
-        UpstreamResponseDecoder decoder = new UpstreamResponseDecoder();
+        ResponseDecoder decoder = new ResponseDecoder(SINGLE_FIELDS);
         UpstreamConnection connection = new UpstreamConnection(this, decoder, attempt.upstream(), openedCount);
         Bootstrap bootstrap = new Bootstrap()
                 .group(loop)
-                .channel(NioSocketChannel.class)
+                .channel(ProbedSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
@@ -169,7 +178,7 @@
                 });
         ChannelFuture connecting =
                 bootstrap.connect(attempt.upstream().host(), attempt.upstream().port());
-        connection.setChannel(connecting.channel());
+        connection.setChannel((ProbedSocketChannel) connecting.channel());
         attempt.setConnection(connection);
         connecting.addListener(future -> handleConnected(attempt, connection, future.isSuccess()));
     }
