--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayMetrics.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayMetrics.java
@@ -12,6 +12,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.citrontide.core.gateway.GatewayAction;
 import org.citrontide.core.gateway.RetryBudgetState;
+import org.citrontide.gateway.upstream.SendMonitor;
 import org.citrontide.runtime.eventloop.GuardedTask;
 import org.citrontide.runtime.metrics.TeamLabels;
 
@@ -34,6 +35,7 @@
     private final Gauge openRequestsGauge;
     private final Gauge versionGauge;
     private final Gauge responseBytesGauge;
+    private final SendMonitor sendMonitor;
 
     /**
      * Registers the metrics.
@@ -65,6 +67,11 @@
         versionGauge = gauge(registry, "citrontide_gateway_configuration_version", "Version in force");
         responseBytesGauge =
                 gauge(registry, "citrontide_gateway_response_bytes", "Memory for incomplete responses in bytes");
+        sendMonitor = new SendMonitor(registry);
+    }
+
+    SendMonitor sendMonitor() {
+        return sendMonitor;
     }
 
     void recordFirstByte(String team, int rank, long nanos) {
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
@@ -93,7 +93,8 @@
             ResponseFaults responseFaults) {
         this.dispatcher = dispatcher;
         this.responseMemory = responseMemory;
-        this.connectionPool = new UpstreamConnectionPool(loop, this, responseMemory, responseFaults);
+        this.connectionPool =
+                new UpstreamConnectionPool(loop, this, responseMemory, responseFaults, metrics.sendMonitor());
         this.reports = new ReportReader(PlatformClient.forEngines(loop));
         this.checker = new UpstreamChecker(loop);
         this.random = random;
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamAttempt.java
@@ -17,10 +17,12 @@
     private final String attemptId;
     private final boolean isStreaming;
     private final boolean atMostOnce;
+    private final long decidedNanos = System.nanoTime();
     private final ResponseBody body = new ResponseBody();
     private Optional<ResponseHead> head = Optional.empty();
     private Optional<UpstreamConnection> connection = Optional.empty();
     private boolean onReusedConnection;
+    private boolean written;
     private boolean ended;
 
     /**
@@ -128,6 +130,20 @@
         return atMostOnce;
     }
 
+    /** Returns the monotonic time in ns at which the attempt was decided on. */
+    long decidedNanos() {
+        return decidedNanos;
+    }
+
+    /** Returns whether the whole request was handed to the socket. */
+    boolean isWritten() {
+        return written;
+    }
+
+    void setWritten() {
+        written = true;
+    }
+
     boolean isEnded() {
         return ended;
     }
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
@@ -174,6 +174,10 @@
     /** Closes the connection after a failed write, once the response that may have arrived before it has been read. */
     private void handleWritten(UpstreamAttempt attempt, boolean isWritten) {
         requestWritten = isWritten;
+        if (isWritten) {
+            attempt.setWritten();
+            pool.sendMonitor().recordWritten(attempt, System.nanoTime());
+        }
         if (isWritten || !channel.isActive()) {
             return;
         }
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnectionPool.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnectionPool.java
@@ -40,6 +40,7 @@
     private final AttemptListener listener;
     private final ResponseMemory responseMemory;
     private final ResponseFaults faults;
+    private final SendMonitor sendMonitor;
     private final Map<String, Deque<UpstreamConnection>> idleByKey = new HashMap<>();
     private final Map<Long, UpstreamAttempt> keptByNumber = new HashMap<>();
     private long openedCount;
@@ -51,13 +52,19 @@
      * @param listener receives the progress of the attempts
      * @param responseMemory limits the memory for incomplete responses
      * @param faults counts and logs bytes that belong to no response
+     * @param sendMonitor records late and given up attempts
      */
     public UpstreamConnectionPool(
-            EventLoopGroup loop, AttemptListener listener, ResponseMemory responseMemory, ResponseFaults faults) {
+            EventLoopGroup loop,
+            AttemptListener listener,
+            ResponseMemory responseMemory,
+            ResponseFaults faults,
+            SendMonitor sendMonitor) {
         this.loop = loop;
         this.listener = listener;
         this.responseMemory = responseMemory;
         this.faults = faults;
+        this.sendMonitor = sendMonitor;
     }
 
     /**
@@ -80,6 +87,9 @@
      * @param attempt the attempt to cancel
      */
     public void cancel(UpstreamAttempt attempt) {
+        if (!attempt.isEnded()) {
+            sendMonitor.recordGivenUp(attempt, System.nanoTime());
+        }
         attempt.setEnded();
         releaseMemory(attempt);
         attempt.connection().ifPresent(UpstreamConnection::close);
@@ -104,6 +114,10 @@
         return openedCount;
     }
 
+    SendMonitor sendMonitor() {
+        return sendMonitor;
+    }
+
     AttemptListener listener() {
         return listener;
     }
