--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
@@ -8,6 +8,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -37,7 +38,8 @@
  * is decoded after the channel was closed is incomplete, because the channel stays open when the upstream ends the
  * connection (half-closure) and is closed by a reset or the gateway itself; after a failed write only a response with a
  * length can be complete, because the write consumes the error of the socket and a reset then reads like an end; a
- * connection is reused only once its request is written. Not thread-safe: owned by the event loop.
+ * connection is reused only once its request is written; an attempt that is given up without the head of a response
+ * leaves no bytes to be delivered later. Not thread-safe: owned by the event loop.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
     private static final EventLog LOG = EventLog.of(UpstreamConnection.class);
@@ -130,8 +132,17 @@
         channel.config().setAutoRead(isReading);
     }
 
+    /**
+     * Gives up the attempt and closes the connection. Without the head of a response, bytes of the request may still
+     * be undelivered: a reset drops them, while an orderly close lets them arrive at any time.
+     */
     void close() {
+        boolean mayBeUndelivered =
+                current.filter(attempt -> attempt.head().isEmpty()).isPresent();
         current = Optional.empty();
+        if (mayBeUndelivered && channel.isOpen()) {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        }
         channel.close();
     }
 
