--- a/gateway/src/main/java/org/citrontide/gateway/store/PlatformClient.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/PlatformClient.java
@@ -45,8 +45,9 @@
  * connections.
  *
  * <p>Invariants: each future completes, at the latest after its timeout; a connection on which a call got no response
- * is not reused, nor is one on which anything arrived behind a response; a call with bytes behind its response fails,
- * because responses have no IDs and the first may repeat that to an earlier call; a response whose end is decoded after the channel was closed is incomplete, because the channel stays
+ * is not reused, nor is one on which anything arrived behind a response; after a timeout it is reset, which drops what
+ * is unsent; a call with bytes behind its response fails, because responses have no IDs and the first may repeat that to
+ * an earlier call; a response whose end is decoded after the channel was closed is incomplete, because the channel stays
  * open when the server ends the connection (half-closure). Not thread-safe: confined to the event loop.
  */
 public final class PlatformClient {
@@ -308,11 +309,19 @@
             }
             pendingResponse = null;
             if (channel != null) {
-                channel.close();
+                reset();
             }
             fail(response, "no response within the timeout");
         }
 
+        /** Closes the connection without sending the rest, so that a call can't arrive after it was given up. */
+        private void reset() {
+            if (channel.isOpen()) {
+                channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            }
+            channel.close();
+        }
+
         private void fail(CompletableFuture<PlatformResponse> response, String reason) {
             pendingResponse = null;
             if (response != null) {
--- a/gateway/src/test/java/org/citrontide/gateway/store/PlatformClientTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/store/PlatformClientTest.java
@@ -8,11 +8,13 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import org.citrontide.fakes.net.HoldingProxy;
 import org.citrontide.fakes.platform.FakeHttpUpstream;
 import org.citrontide.platform.PlatformCall;
 import org.junit.jupiter.api.Test;
@@ -100,6 +102,37 @@
         }
     }
 
+    // Guards against orders and writes that are carried out long after their sender gave them up.
+    @Test
+    void callGivenUpWhileItsBytesAreHeldUpDoesNotArriveLater() throws Exception {
+        MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        AtomicInteger arrivals = new AtomicInteger();
+        byte[] body = new byte[60 * 1024];
+        try (FakeHttpUpstream engine = new FakeHttpUpstream("a", (r, reply) -> {
+                    if (r.body().length() == body.length) {
+                        arrivals.incrementAndGet();
+                    }
+                    writeStatus(reply, "202 Accepted");
+                });
+                HoldingProxy path = new HoldingProxy(address(engine).getPort())) {
+            InetSocketAddress address = new InetSocketAddress("127.0.0.1", path.port());
+            EventLoop loop = loops.next();
+            PlatformClient client = PlatformClient.forEngines(loop);
+            PlatformCall order = new PlatformCall("POST", "/-/order", body);
+            assertEquals(202, status(loop, () -> client.call(address, order, TIMEOUT)));
+            path.setHeld(true);
+            Duration timeout = Duration.ofMillis(300);
+            for (int i = 0; i < ORDERS; i++) {
+                assertThrows(ExecutionException.class, () -> status(loop, () -> client.call(address, order, timeout)));
+            }
+            path.setHeld(false);
+            TimeUnit.MILLISECONDS.sleep(1000);
+            assertEquals(1, arrivals.get());
+        } finally {
+            loops.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+        }
+    }
+
     private static InetSocketAddress address(FakeHttpUpstream engine) {
         String entry = engine.entry("svc", "ready");
         int port = Integer.parseInt(entry.replaceAll(".*127.0.0.1:([0-9]+).*", "$1"));
