--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
@@ -401,6 +401,7 @@
                 send.attempt(),
                 send.upstream(),
                 UpstreamRequestBuilder.build(exchange.caller, send, resumeAfter),
+                send.remaining(),
                 Optional.ofNullable(exchange.caller.headers().get(PlatformHeaders.ATTEMPT_ID))
                         .orElse(""),
                 send.request().route().isStreaming(),
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/UpstreamRequestBuilder.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/UpstreamRequestBuilder.java
@@ -50,7 +50,7 @@
     private UpstreamRequestBuilder() {}
 
     /**
-     * Builds the request to an upstream.
+     * Builds the request to an upstream, without the remaining time, which is set when the request is written.
      *
      * @param callerRequest the request of the caller
      * @param send the action that sends the attempt
@@ -71,8 +71,6 @@
         if (!request.team().isEmpty()) {
             out.headers().set(PlatformHeaders.TEAM, request.team());
         }
-        out.headers()
-                .set(PlatformHeaders.REMAINING_MS, Math.max(1, send.remaining().toMillis()));
         out.headers().set(PlatformHeaders.EXPECTED_UPSTREAM, send.upstream().id());
         int rank = Math.clamp(send.admissionRank(), 0, PlatformHeaders.MAX_ADMISSION_RANK);
         out.headers().set(PlatformHeaders.ADMISSION_RANK, rank);
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamAttempt.java
@@ -1,5 +1,6 @@
 package org.citrontide.gateway.upstream;
 
+import java.time.Duration;
 import java.util.Optional;
 
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -14,6 +15,7 @@
     private final long number;
     private final ListedUpstream upstream;
     private final FullHttpRequest request;
+    private final Duration remaining;
     private final String attemptId;
     private final boolean isStreaming;
     private final boolean atMostOnce;
@@ -30,7 +32,8 @@
      *
      * @param number number of the attempt, unique within a process
      * @param upstream upstream to send the request to
-     * @param request the request, sent unchanged
+     * @param request the request, sent unchanged but for the remaining time
+     * @param remaining time that remains until the deadline of the request
      * @param attemptId attempt ID that the upstream echoes, empty if there is none
      * @param isStreaming whether a successful response is passed on while it arrives
      * @param atMostOnce whether the request must run at most once
@@ -39,12 +42,14 @@
             long number,
             ListedUpstream upstream,
             FullHttpRequest request,
+            Duration remaining,
             String attemptId,
             boolean isStreaming,
             boolean atMostOnce) {
         this.number = number;
         this.upstream = upstream;
         this.request = request;
+        this.remaining = remaining;
         this.attemptId = attemptId;
         this.isStreaming = isStreaming;
         this.atMostOnce = atMostOnce;
@@ -135,6 +140,11 @@
         return decidedNanos;
     }
 
+    /** Returns the time that remains until the deadline of the request, negative after it. */
+    Duration remaining(long nowNanos) {
+        return remaining.minusNanos(nowNanos - decidedNanos);
+    }
+
     /** Returns whether the whole request was handed to the socket. */
     boolean isWritten() {
         return written;
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
@@ -101,6 +101,11 @@
         skippingResponse = false;
         hasBeenIdle = false;
         requestWritten = false;
+        attempt.request()
+                .headers()
+                .set(
+                        PlatformHeaders.REMAINING_MS,
+                        Math.max(1, attempt.remaining(System.nanoTime()).toMillis()));
         decoder.expectResponseTo(attempt.request().method().name());
         channel.writeAndFlush(attempt.request()).addListener(f -> handleWritten(attempt, f.isSuccess()));
     }
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnectionPool.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnectionPool.java
@@ -198,7 +198,9 @@
     }
 
     private void handleConnected(UpstreamAttempt attempt, UpstreamConnection connection, boolean isConnected) {
-        if (attempt.isEnded()) {
+        boolean isExpired = isConnected && attempt.remaining(System.nanoTime()).isNegative();
+        if (attempt.isEnded() || isExpired) {
+            // The request of an expired attempt is ended by the next tick.
             connection.close();
             return;
         }
