--- a/gateway/src/main/java/org/citrontide/gateway/upstream/ServerSentEvent.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/ServerSentEvent.java
@@ -28,9 +28,9 @@
      * @param bytes bytes that contain the event
      * @param start position of its first line
      * @param end position after the blank line that ends it
-     * @return the event, empty if a line is no line of an event stream, such as a status line, if the event has more than
-     *     one ID and so the lines of several events, or if a status line and fields unknown in event streams show that
-     *     it goes on with the head of a response
+     * @return the event, empty if a line is no line of an event stream, such as a status line, if the event has more
+     *     than one ID and so the lines of several events, or if a status line and fields unknown in event streams show
+     *     that it goes on with the head of a response
      */
     static Optional<ServerSentEvent> parse(byte[] bytes, int start, int end) {
         // Each byte is one character, so that no byte is lost.
--- a/gateway/src/test/java/org/citrontide/gateway/CutRequestTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/CutRequestTest.java
@@ -16,7 +16,8 @@
 final class CutRequestTest extends GatewayHarness {
     private static final String HEAD =
             "POST /book/first HTTP/1.1\r\nHost: h.example\r\nCitrontide-Deadline-Ms: 3000\r\n"
-                    + "Citrontide-Attempt-Id: id-first\r\nAuthorization: Bearer key-1\r\nX-Note: n\r\nContent-Length: 0\r\n\r\n";
+                    + "Citrontide-Attempt-Id: id-first\r\nAuthorization: Bearer key-1\r\nX-Note: n\r\n"
+                    + "Content-Length: 0\r\n\r\n";
     private static final String NEXT = "GET /look/next HTTP/1.1\r\nHost: h.example\r\nCitrontide-Deadline-Ms: 3000\r\n"
             + "Citrontide-Attempt-Id: id-next\r\nAuthorization: Bearer key-1\r\n\r\n";
 
--- a/gateway/src/test/java/org/citrontide/gateway/store/PlatformClientMixedResponseTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/store/PlatformClientMixedResponseTest.java
@@ -73,6 +73,7 @@
                 case AFTER_1_MS -> writeLater(reply, extra, 1);
                 case AFTER_6_MS -> writeLater(reply, extra, 6);
                 case WITH_NEXT -> bytesBeforeNext.put(Thread.currentThread(), extra);
+                default -> throw new IllegalStateException();
             }
         });
         String entry = server.entry("svc", "ready");
--- a/gateway/src/test/java/org/citrontide/gateway/store/SpoiledResponsesTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/store/SpoiledResponsesTest.java
@@ -131,6 +131,7 @@
             }
             case PRECEDED_AT_ONCE -> reply.write(cut + own);
             case PRECEDED_IN_PIECES -> writePieces(reply, cutInHead + own);
+            default -> throw new IllegalStateException();
         }
     }
 
