--- a/gateway/src/main/java/org/citrontide/gateway/admin/PageServer.java
+++ b/gateway/src/main/java/org/citrontide/gateway/admin/PageServer.java
@@ -28,7 +28,8 @@
 /**
  * Minimal HTTP server for pages on a separate address, run by the gateway's event loop.
  *
- * <p>Not thread-safe: confined to the event loop once it listens.
+ * <p>Invariant: a request that can't be read gets no page, and ends its connection. Not thread-safe: confined to the
+ * event loop once it listens.
  */
 public final class PageServer {
     // The largest body is that of a peer's evidence, a few kilobytes.
@@ -106,18 +107,15 @@
     private final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest r) throws IOException {
-            int query = r.uri().indexOf('?');
-            String path = query < 0 ? r.uri() : r.uri().substring(0, query);
-            Page page = r.method().equals(HttpMethod.POST)
-                    ? provider.submit(path, ByteBufUtil.getBytes(r.content()))
-                    : provider.page(path);
+            boolean isMalformed = r.decoderResult().isFailure();
+            Page page = isMalformed ? Page.badRequest("malformed request\n") : page(r);
             DefaultFullHttpResponse response = new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1,
                     HttpResponseStatus.valueOf(page.status()),
                     Unpooled.wrappedBuffer(page.body()));
             response.headers().set(HttpHeaderNames.CONTENT_TYPE, page.contentType());
             HttpUtil.setContentLength(response, page.body().length);
-            boolean isKeepAlive = HttpUtil.isKeepAlive(r);
+            boolean isKeepAlive = HttpUtil.isKeepAlive(r) && !isMalformed;
             HttpUtil.setKeepAlive(response, isKeepAlive);
             ChannelFuture written = ctx.writeAndFlush(response);
             if (!isKeepAlive) {
@@ -125,6 +123,14 @@
             }
         }
 
+        private Page page(FullHttpRequest r) throws IOException {
+            int query = r.uri().indexOf('?');
+            String path = query < 0 ? r.uri() : r.uri().substring(0, query);
+            return r.method().equals(HttpMethod.POST)
+                    ? provider.submit(path, ByteBufUtil.getBytes(r.content()))
+                    : provider.page(path);
+        }
+
         @Override
         public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
             ctx.close();
