--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
@@ -142,12 +142,8 @@
      * be undelivered: a reset drops them, while an orderly close lets them arrive at any time.
      */
     void close() {
-        boolean mayBeUndelivered =
-                current.filter(attempt -> attempt.head().isEmpty()).isPresent();
+        dropUndelivered();
         current = Optional.empty();
-        if (mayBeUndelivered && channel.isOpen()) {
-            channel.config().setOption(ChannelOption.SO_LINGER, 0);
-        }
         channel.close();
     }
 
@@ -156,7 +152,7 @@
         try {
             if (message instanceof UnexpectedBytes bytes) {
                 handleUnexpectedBytes(bytes.count());
-                channel.close();
+                breakOff();
             }
             if (message instanceof HttpResponse response) {
                 handleHead(response);
@@ -221,8 +217,7 @@
             recordRejected(response);
         }
         if (response.decoderResult().isFailure() || current.isEmpty()) {
-            failAttempt(Reason.ANSWER_BROKEN);
-            channel.close();
+            breakOff();
             return;
         }
         UpstreamAttempt attempt = current.get();
@@ -255,15 +250,13 @@
                 .with("id", attempt.attemptId())
                 .with("status", response.status().code())
                 .write();
-        failAttempt(Reason.ANSWER_BROKEN);
-        channel.close();
+        breakOff();
     }
 
     private void handleContent(HttpContent content) {
         if (content.decoderResult().isFailure()) {
             recordRejected(content);
-            failAttempt(Reason.ANSWER_BROKEN);
-            channel.close();
+            breakOff();
             return;
         }
         boolean isLast = content instanceof LastHttpContent;
@@ -302,8 +295,7 @@
                 .with("bytes", attempt.bodyLength())
                 .with("kept-bytes", pool.keptBytes())
                 .write());
-        failAttempt(Reason.ANSWER_BROKEN);
-        channel.close();
+        breakOff();
     }
 
     private void endAttempt(UpstreamAttempt attempt) {
@@ -328,6 +320,22 @@
                         attempt, ResponseClassifier.classify(attempt.head().orElseThrow()));
     }
 
+    /** Fails the attempt because of its response and closes the connection like {@link #close}. */
+    private void breakOff() {
+        dropUndelivered();
+        failAttempt(Reason.ANSWER_BROKEN);
+        channel.close();
+    }
+
+    /** Makes the next close a reset if bytes of the request may not have arrived. */
+    private void dropUndelivered() {
+        boolean mayBeUndelivered =
+                current.filter(attempt -> attempt.head().isEmpty()).isPresent();
+        if (mayBeUndelivered && channel.isOpen()) {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        }
+    }
+
     private void failAttempt(Reason reason) {
         Optional<UpstreamAttempt> attempt = current;
         current = Optional.empty();
