--- a/gateway/src/main/java/org/citrontide/gateway/store/PlatformClient.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/PlatformClient.java
@@ -45,10 +45,11 @@
  * connections.
  *
  * <p>Invariants: each future completes, at the latest after its timeout; a connection on which a call got no response
- * is not reused, nor is one on which anything arrived behind a response; after a timeout it is reset, which drops what
- * is unsent; a call with bytes behind its response fails, because responses have no IDs and the first may repeat that to
- * an earlier call; a response whose end is decoded after the channel was closed is incomplete, because the channel stays
- * open when the server ends the connection (half-closure). Not thread-safe: confined to the event loop.
+ * is not reused, nor is one on which anything arrived behind a response; after a timeout or a malformed response it is
+ * reset, which drops what is unsent; a call with bytes behind its response fails, because responses have no IDs and the
+ * first may repeat that to an earlier call; a response whose end is decoded after the channel was closed is incomplete,
+ * because the channel stays open when the server ends the connection (half-closure). Not thread-safe: confined to the
+ * event loop.
  */
 public final class PlatformClient {
     private static final EventLog LOG = EventLog.of(PlatformClient.class);
@@ -274,7 +275,7 @@
         /** Closes a connection that can't be read any more. */
         private void drop(String reason) {
             logDrop(reason);
-            channel.close();
+            reset();
             fail(pendingResponse, "malformed response, " + reason);
         }
 
--- a/gateway/src/test/java/org/citrontide/gateway/store/PlatformClientTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/store/PlatformClientTest.java
@@ -1,7 +1,11 @@
 package org.citrontide.gateway.store;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -22,6 +26,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Calls engines that repeat the response to an earlier order, or break off a response without a length. */
 final class PlatformClientTest {
@@ -133,6 +138,48 @@
         }
     }
 
+    // Guards against orders and writes that are carried out although their sender was told that they failed.
+    @Test
+    void callWhoseResponseIsBrokenBeforeItArrivedDoesNotArriveLater() throws Exception {
+        MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        byte[] body = new byte[256 * 1024];
+        try (ServerSocket engine = new ServerSocket()) {
+            engine.setReceiveBufferSize(4096);
+            engine.bind(new InetSocketAddress("127.0.0.1", 0));
+            EventLoop loop = loops.next();
+            PlatformClient client = PlatformClient.forEngines(loop);
+            InetSocketAddress address = new InetSocketAddress("127.0.0.1", engine.getLocalPort());
+            PlatformCall order = new PlatformCall("POST", "/-/order", body);
+            CompletableFuture<Integer> call = CompletableFuture.supplyAsync(
+                            () -> client.call(address, order, TIMEOUT), loop)
+                    .thenCompose(r -> r)
+                    .thenApply(PlatformResponse::status);
+            try (Socket connection = engine.accept()) {
+                connection.setSoTimeout((int) TIMEOUT.toMillis());
+                assertEquals('P', connection.getInputStream().read());
+                connection.getOutputStream().write("no response\r\n".getBytes(StandardCharsets.ISO_8859_1));
+                assertThrows(ExecutionException.class, call::get);
+                int received = countRemaining(connection.getInputStream());
+                assertTrue(received < body.length, received + " bytes were delivered");
+            }
+        } finally {
+            loops.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+        }
+    }
+
+    private static int countRemaining(InputStream in) {
+        int count = 0;
+        try {
+            while (in.read() >= 0) {
+                count++;
+            }
+        } catch (IOException e) {
+            // A reset ends the count like an end does.
+            return count;
+        }
+        return count;
+    }
+
     private static InetSocketAddress address(FakeHttpUpstream engine) {
         String entry = engine.entry("svc", "ready");
         int port = Integer.parseInt(entry.replaceAll(".*127.0.0.1:([0-9]+).*", "$1"));
