--- a/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
 
 import org.citrontide.fakes.net.TestPorts;
 import org.citrontide.fakes.platform.FakeHttpUpstream;
@@ -121,17 +122,28 @@
     }
 
     static String configuration(int version) {
-        String routes = route("book", "unsafe", "") + "," + route("look", "safe", "") + ","
-                + route("stream", "streaming", ",\"can_resume\":true,\"target_gap_ms\":120");
+        return configuration(version, List.of(""));
+    }
+
+    /** Returns a configuration with the usual routes and a service for each suffix of their names. */
+    static String configuration(int version, List<String> suffixes) {
+        String routes = suffixes.stream()
+                .map(s -> route("book", "unsafe", s, "") + "," + route("look", "safe", s, "") + ","
+                        + route("stream", "streaming", s, ",\"can_resume\":true,\"target_gap_ms\":120"))
+                .collect(Collectors.joining(","));
+        String services = suffixes.stream()
+                .map(s -> "{\"name\":\"svc" + s + "\",\"max_connections\":50}")
+                .collect(Collectors.joining(","));
         return "{\"version\":" + version + ",\"routes\":[" + routes
-                + "],\"services\":[{\"name\":\"svc\",\"max_connections\":50}],\"limits\":{\"max_header_bytes\":2048,"
+                + "],\"services\":[" + services + "],\"limits\":{\"max_header_bytes\":2048,"
                 + "\"max_body_bytes\":65536,\"header_timeout_ms\":700,\"idle_timeout_ms\":15000},"
                 + "\"tenants\":[{\"name\":\"rangers\",\"api_keys\":[\"key-1\"]}]}";
     }
 
-    private static String route(String name, String kind, String extraFields) {
-        return "{\"name\":\"" + name + "\",\"hostname\":\"h.example\",\"prefix\":\"/" + name + "/\",\"kind\":\"" + kind
-                + "\",\"timeout_ms\":4000,\"target_latency_ms\":400,\"priority\":1,\"service\":\"svc\","
+    private static String route(String name, String kind, String suffix, String extraFields) {
+        return "{\"name\":\"" + name + suffix + "\",\"hostname\":\"h.example\",\"prefix\":\"/" + name + suffix
+                + "/\",\"kind\":\"" + kind
+                + "\",\"timeout_ms\":4000,\"target_latency_ms\":400,\"priority\":1,\"service\":\"svc" + suffix + "\","
                 + "\"max_attempts\":2" + extraFields + "}";
     }
 
