--- a/fakes/src/main/java/org/citrontide/fakes/net/HoldingProxy.java
+++ b/fakes/src/main/java/org/citrontide/fakes/net/HoldingProxy.java
@@ -10,9 +10,9 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
- * A loopback proxy for TCP that can hold up all bytes towards its target, like a cut path: it neither accepts nor reads,
- * so that what exceeds its small receive buffers stays at the sender. What these buffers accepted is delivered once the
- * path opens, even if the sender has reset the connection since. Thread-safe.
+ * A loopback proxy for TCP that can hold up all bytes towards its target, like a cut path: it neither accepts nor
+ * reads, so that what exceeds its small receive buffers stays at the sender. What these buffers accepted is delivered
+ * once the path opens, even if the sender has reset the connection since. Thread-safe.
  */
 public final class HoldingProxy implements AutoCloseable {
     private static final int BACKLOG = 50;
@@ -94,7 +94,7 @@
             Thread.ofVirtual().start(() -> forward(out, in, false));
             forward(in, out, true);
         } catch (IOException e) {
-            close(in);
+            closeSocket(in);
         }
     }
 
@@ -122,7 +122,7 @@
         }
     }
 
-    private static void close(Socket s) {
+    private static void closeSocket(Socket s) {
         try {
             s.close();
         } catch (IOException e) {
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnectionPool.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnectionPool.java
@@ -10,6 +10,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -41,6 +42,7 @@
     private final ResponseMemory responseMemory;
     private final ResponseFaults faults;
     private final SendMonitor sendMonitor;
+    private final ChannelFactory<ProbedSocketChannel> channelFactory;
     private final Map<String, Deque<UpstreamConnection>> idleByKey = new HashMap<>();
     private final Map<Long, UpstreamAttempt> keptByNumber = new HashMap<>();
     private long openedCount;
@@ -60,11 +62,22 @@
             ResponseMemory responseMemory,
             ResponseFaults faults,
             SendMonitor sendMonitor) {
+        this(loop, listener, responseMemory, faults, sendMonitor, ProbedSocketChannel::new);
+    }
+
+    UpstreamConnectionPool(
+            EventLoopGroup loop,
+            AttemptListener listener,
+            ResponseMemory responseMemory,
+            ResponseFaults faults,
+            SendMonitor sendMonitor,
+            ChannelFactory<ProbedSocketChannel> channelFactory) {
         this.loop = loop;
         this.listener = listener;
         this.responseMemory = responseMemory;
         this.faults = faults;
         this.sendMonitor = sendMonitor;
+        this.channelFactory = channelFactory;
     }
 
     /**
@@ -179,7 +192,7 @@
         UpstreamConnection connection = new UpstreamConnection(this, decoder, attempt.upstream(), openedCount);
         Bootstrap bootstrap = new Bootstrap()
                 .group(loop)
-                .channel(ProbedSocketChannel.class)
+                .channelFactory(channelFactory)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
@@ -192,7 +205,12 @@
                 });
         ChannelFuture connecting =
                 bootstrap.connect(attempt.upstream().host(), attempt.upstream().port());
-        connection.setChannel((ProbedSocketChannel) connecting.channel());
+        if (!(connecting.channel() instanceof ProbedSocketChannel channel)) {
+            // No socket could be created; the listeners of such a future run on another thread.
+            loop.execute(() -> endUnreached(attempt));
+            return;
+        }
+        connection.setChannel(channel);
         attempt.setConnection(connection);
         connecting.addListener(future -> handleConnected(attempt, connection, future.isSuccess()));
     }
@@ -208,7 +226,13 @@
             connection.send(attempt);
             return;
         }
-        attempt.setEnded();
-        listener.attemptEnded(attempt, new AttemptOutcome.Unreached());
+        endUnreached(attempt);
+    }
+
+    private void endUnreached(UpstreamAttempt attempt) {
+        if (!attempt.isEnded()) {
+            attempt.setEnded();
+            listener.attemptEnded(attempt, new AttemptOutcome.Unreached());
+        }
     }
 }
