--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayDaemon.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayDaemon.java
@@ -15,7 +15,7 @@
  * the load balancer has noticed, then closes idle connections of callers, so that they open others elsewhere, refuses
  * new requests, and ends once the response to every request is written or the time limit has passed. Thread-safe.
  */
-public final class GatewayDaemon {
+public final class GatewayDaemon implements AutoCloseable {
     private static final EventLog LOG = EventLog.of(GatewayDaemon.class);
     private static final long POLL_INTERVAL_MILLIS = 20;
 
@@ -90,6 +90,12 @@
         stopped.countDown();
     }
 
+    /** Ends all servers, connections and timers at once, whatever is open, and returns before they have ended. */
+    @Override
+    public void close() {
+        component.eventLoops().shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+
     private boolean isReady() {
         return !isStopping.get()
                 && component.shell().table().version() > 0
--- a/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
@@ -29,6 +29,9 @@
     private static final double LINK_MEGABITS_PER_SECOND = 1000;
     private static final Duration AWAIT_TIMEOUT = Duration.ofSeconds(20);
 
+    // Tests run one after the other.
+    private static final List<GatewayDaemon> DAEMONS = new ArrayList<>();
+
     final int callerPort = TestPorts.allocate();
     final int adminPort = TestPorts.allocate();
     final int peerPort = TestPorts.allocate();
@@ -70,7 +73,7 @@
             Optional<InetSocketAddress> peerAddress,
             List<InetSocketAddress> peers,
             Duration stopLimit) {
-        return new GatewayDaemon(
+        GatewayDaemon created = new GatewayDaemon(
                 new GatewaySettings(
                         vm,
                         "z1",
@@ -91,6 +94,8 @@
                 1,
                 // A process allows no retry in its first window.
                 System.nanoTime() - RETRY_WINDOW.toNanos());
+        DAEMONS.add(created);
+        return created;
     }
 
     static InetSocketAddress localAddress(int port) {
@@ -99,6 +104,8 @@
 
     @AfterEach
     void stop() throws IOException {
+        DAEMONS.forEach(GatewayDaemon::close);
+        DAEMONS.clear();
         store.close();
         for (FakeHttpUpstream upstream : upstreams) {
             upstream.close();
