Split the dispatcher and the shell of the gateway into parts with room

Cause: the handling of events, the state between them and the choice of an upstream were one class, as were the creation of requests, the reading of speeds and the shell itself.

DispatchHandler now handles one event, DispatchState keeps what lasts between events, and UpstreamPlacement is the one place that decides where an attempt may go, first or repeated. GatewayRequestFactory and UpstreamSpeeds leave the shell.

Checked: mvn -pl core test of Gateway*, GroupOutage*, UpstreamLimit*, Crash* and RetryBudget*, all green; formatter and linter.

--- /dev/null
+++ b/core/src/main/java/org/citrontide/core/gateway/DispatchState.java
@@ -0,0 +1,30 @@
+package org.citrontide.core.gateway;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+/** What a {@link GatewayDispatcher} keeps between events. Not thread-safe: confined to the dispatcher's thread. */
+final class DispatchState {
+    final UpstreamRegistry registry = new UpstreamRegistry();
+    final GroupHealth groupHealth = new GroupHealth();
+    final UpstreamPlacement placement;
+    final RetryAfterPolicy retryAfterPolicy;
+    final ServiceStates services;
+    final SpeedMonitor speedMonitor = new SpeedMonitor();
+    final CrashGuard crashGuard = new CrashGuard();
+    final Map<Long, OpenGatewayRequest> openById = new HashMap<>();
+    final Map<Long, OpenGatewayRequest> byAttempt = new HashMap<>();
+    final TreeSet<GatewayRequest> byDeadline = new TreeSet<>(
+            Comparator.comparingLong(GatewayRequest::deadlineNanos).thenComparingLong(GatewayRequest::id));
+    long nextAttemptNumber = 1;
+
+    DispatchState(String zone, Supplier<GatewayRetryBudget> retryBudgetFactory, RandomGenerator random) {
+        this.placement = new UpstreamPlacement(registry, groupHealth, new UpstreamSelector(zone, random));
+        this.retryAfterPolicy = new RetryAfterPolicy(random);
+        this.services = new ServiceStates(retryBudgetFactory);
+    }
+}
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
@@ -10,9 +10,7 @@
 import java.util.random.RandomGenerator;
 
 import io.netty.channel.EventLoop;
-import org.citrontide.core.expertmap.RankReport;
 import org.citrontide.core.gateway.AttemptOutcome;
-import org.citrontide.core.gateway.CallerWaitEstimator;
 import org.citrontide.core.gateway.GatewayAction;
 import org.citrontide.core.gateway.GatewayDispatcher;
 import org.citrontide.core.gateway.GatewayEvent;
@@ -24,12 +22,10 @@
 import org.citrontide.core.routes.ListedUpstream;
 import org.citrontide.core.routes.Route;
 import org.citrontide.core.routes.RoutingTable;
-import org.citrontide.core.routes.Team;
 import org.citrontide.core.verdict.Reason;
 import org.citrontide.core.verdict.Verdict;
 import org.citrontide.gateway.caller.CallerListener;
 import org.citrontide.gateway.caller.CallerRequest;
-import org.citrontide.gateway.filter.GatewayFilter;
 import org.citrontide.gateway.filter.RequestHead;
 import org.citrontide.gateway.store.CrashEvidenceStore;
 import org.citrontide.gateway.store.PlatformClient;
@@ -52,27 +48,21 @@
 public final class GatewayShell implements CallerListener, AttemptListener {
     // Deadlines are enforced with this precision; the shortest that callers set are some hundred milliseconds.
     private static final Duration TICK = Duration.ofMillis(50);
-    // Smaller changes of the slowness of an upstream are not logged.
-    private static final double MIN_LOGGED_SLOWNESS_CHANGE = 0.5;
-    private static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(60);
 
     private final GatewayDispatcher dispatcher;
     private final ResponseMemory responseMemory;
     private final UpstreamConnectionPool connectionPool;
-    private final ReportReader reports;
+    private final UpstreamSpeeds speeds;
     private final UpstreamChecker checker;
-    private final RandomGenerator random;
+    private final GatewayRequestFactory requestFactory;
     private final GatewayMetrics metrics;
-    private final CallerWaitEstimator waitEstimator = new CallerWaitEstimator();
     private final RequestLog log = new RequestLog();
     private final Map<Long, OpenExchange> openById = new HashMap<>();
     private final Map<Long, OpenExchange> openByAttempt = new HashMap<>();
     private final Map<CallerRequest, Long> idByRequest = new HashMap<>();
-    private final Map<String, Double> slownessByUpstream = new HashMap<>();
     private Optional<CrashEvidenceStore> crashEvidence = Optional.empty();
     private RoutingTable table = RoutingTable.NONE;
     private Optional<StopSchedule> stopSchedule = Optional.empty();
-    private long nextRequestId = 1;
 
     /**
      * Creates a shell and schedules its periodic tick.
@@ -95,9 +85,9 @@
         this.responseMemory = responseMemory;
         this.connectionPool =
                 new UpstreamConnectionPool(loop, this, responseMemory, responseFaults, metrics.sendMonitor());
-        this.reports = new ReportReader(PlatformClient.forEngines(loop));
+        this.speeds = new UpstreamSpeeds(new ReportReader(PlatformClient.forEngines(loop)), log, this::handle);
         this.checker = new UpstreamChecker(loop);
-        this.random = random;
+        this.requestFactory = new GatewayRequestFactory(random);
         this.metrics = metrics;
         Runnable tick = new GuardedTask("dispatch-tick", this::tick);
         loop.scheduleAtFixedRate(tick, TICK.toMillis(), TICK.toMillis(), TimeUnit.MILLISECONDS);
@@ -147,9 +137,7 @@
      * @param upstreams all usable upstreams
      */
     public void updateUpstreams(List<ListedUpstream> upstreams) {
-        slownessByUpstream
-                .keySet()
-                .retainAll(upstreams.stream().map(ListedUpstream::id).toList());
+        speeds.retain(upstreams);
         handle(new GatewayEvent.UpstreamsUpdated(upstreams));
     }
 
@@ -198,14 +186,14 @@
     public void requestArrived(CallerRequest request) {
         long now = System.nanoTime();
         RequestHead head = new RequestHead(request.target(), request.headers(), table);
-        Optional<Reason> refusal = findRefusal(request, head, now);
+        Optional<Reason> refusal = requestFactory.findRefusal(request, head, stopSchedule, now);
         if (refusal.isPresent()) {
             Verdict verdict = new Verdict.NotRun(refusal.get(), TICK);
             log.logFilterRefusal(request, table.version(), verdict);
             Refusals.send(request, verdict);
             return;
         }
-        GatewayRequest gatewayRequest = buildRequest(request, head, now);
+        GatewayRequest gatewayRequest = requestFactory.create(request, head, now);
         openById.put(gatewayRequest.id(), new OpenExchange(request, gatewayRequest));
         idByRequest.put(request, gatewayRequest.id());
         handle(new GatewayEvent.RequestArrived(gatewayRequest));
@@ -321,44 +309,6 @@
         return exchange != null && exchange.attempt.isPresent() && exchange.attempt.get() == attempt ? exchange : null;
     }
 
-    private Optional<Reason> findRefusal(CallerRequest request, RequestHead head, long now) {
-        if (stopSchedule.filter(s -> s.isNoticeOver(now)).isPresent()) {
-            return Optional.of(Reason.DRAINING);
-        }
-        Optional<Reason> refusal = GatewayFilter.checkAll(head);
-        if (refusal.isPresent() || stopSchedule.isEmpty()) {
-            return refusal;
-        }
-        long deadline = now + timeout(request, head.route()).toNanos();
-        return stopSchedule.get().accepts(deadline, now) ? Optional.empty() : Optional.of(Reason.DRAINING);
-    }
-
-    private static Duration timeout(CallerRequest request, Route route) {
-        Duration callerTimeout = UpstreamRequestBuilder.parseNumber(request.headers(), PlatformHeaders.REMAINING_MS)
-                .map(Duration::ofMillis)
-                .orElse(DEFAULT_TIMEOUT);
-        return callerTimeout.compareTo(route.timeout()) < 0 ? callerTimeout : route.timeout();
-    }
-
-    private GatewayRequest buildRequest(CallerRequest callerRequest, RequestHead head, long now) {
-        Route route = head.route();
-        Duration timeout = timeout(callerRequest, route);
-        int rank = head.team().flatMap(Team::priority).orElse(route.priority());
-        TokenCounts tokens = TokenCounts.parse(callerRequest.headers());
-        return new GatewayRequest(
-                nextRequestId++,
-                route,
-                route.service(random.nextDouble()),
-                head.team().map(Team::name).orElse(""),
-                rank,
-                tokens.prompt(),
-                tokens.completion(),
-                PromptParts.parseShared(callerRequest.headers()),
-                waitEstimator.estimateWait(route.name(), timeout),
-                now,
-                now + timeout.toNanos());
-    }
-
     private void handle(GatewayEvent event) {
         for (GatewayAction action : dispatcher.handle(event, System.nanoTime())) {
             switch (action) {
@@ -367,7 +317,7 @@
                 case GatewayAction.DeliverResponse d -> deliverResponse(d);
                 case GatewayAction.RefuseRequest r -> refuseRequest(r);
                 case GatewayAction.AbortResponse b -> abortResponse(b);
-                case GatewayAction.QuerySpeeds a -> a.upstreams().forEach(this::querySpeed);
+                case GatewayAction.QuerySpeeds a -> a.upstreams().forEach(speeds::query);
                 case GatewayAction.ReportGroupState n -> log.logGroupState(n);
                 case GatewayAction.ReportGroupAvailability a -> log.logGroupAvailability(a);
                 case GatewayAction.ReportRateLimit l -> log.logRateLimit(l);
@@ -419,19 +369,6 @@
         log.logRetryDenied(openById.get(denied.request().id()), denied);
     }
 
-    private void querySpeed(ListedUpstream upstream) {
-        reports.read(upstream, report -> report.ifPresent(r -> handleSpeedReport(upstream, r)));
-    }
-
-    private void handleSpeedReport(ListedUpstream upstream, RankReport report) {
-        double previous = Optional.ofNullable(slownessByUpstream.put(upstream.id(), report.slowness()))
-                .orElse(1.0);
-        if (Math.abs(report.slowness() - previous) > MIN_LOGGED_SLOWNESS_CHANGE) {
-            log.logSpeedChange(upstream.id(), previous, report.slowness());
-        }
-        handle(new GatewayEvent.ReportReceived(upstream.id(), report.slowness(), report.isOpen()));
-    }
-
     private void cancelAttempt(long attempt) {
         OpenExchange exchange = openByAttempt.remove(attempt);
         if (exchange != null) {
