See changes that are made between two pages of a full read

Cause: StoreMirror.readAll continued with a watch from the revision of the last page.

The watch now begins at the revision of the first page. Events that a later page has shown already are left out by the revision of the item. Items that a gateway does not mirror, and entries of more than 256 KB that can't be an upstream's, are released with their page; a line names the latter.

Ruled out: reading all pages again until two reads agree, which never ends while upstreams write.

StoreMirrorTest.seesAChangeThatIsMadeBetweenTwoPages: timed out on the code before, green now (mvn -pl gateway -am test -Dtest=StoreMirrorTest). The fake store has pages now.

--- a/fakes/src/main/java/org/citrontide/fakes/platform/FakePlatformStore.java
+++ b/fakes/src/main/java/org/citrontide/fakes/platform/FakePlatformStore.java
@@ -48,6 +48,8 @@
     private long lastLease;
     private Mode mode = Mode.UP;
     private int readCount;
+    private int maxPageItems = Integer.MAX_VALUE;
+    private Runnable pageListener = () -> {};
 
     /**
      * Starts the store on a free port.
@@ -110,6 +112,17 @@
         history.clear();
     }
 
+    /**
+     * Limits the number of items on a page.
+     *
+     * @param maxItems maximum number of items
+     * @param listener called after each page that is not the last one, before the next one is read
+     */
+    public synchronized void setPages(int maxItems, Runnable listener) {
+        maxPageItems = maxItems;
+        pageListener = listener;
+    }
+
     /**
      * Returns whether a key exists.
      *
@@ -140,7 +153,7 @@
         }
         String target = call.target();
         if (target.equals("GET /-/kv-range")) {
-            return range(call.query("prefix"));
+            return range(call.query("prefix"), call.query("after"));
         }
         if (target.equals("GET /-/kv-watch")) {
             return watch(call.query("prefix"), call.query("after", 0), call.query("wait_ms", 0));
@@ -155,11 +168,18 @@
         return mode == Mode.HANGING;
     }
 
-    private synchronized FakeServer.Reply range(String prefix) {
+    private synchronized FakeServer.Reply range(String prefix, String after) {
         ObjectNode body = mapper.createObjectNode();
         ArrayNode list = body.putArray("items");
-        items.values().stream().filter(c -> c.key().startsWith(prefix)).forEach(c -> add(list, c));
-        body.put("truncated", false).put("at", revision);
+        List<Change> remaining = items.tailMap(after, false).values().stream()
+                .filter(c -> c.key().startsWith(prefix))
+                .toList();
+        remaining.stream().limit(maxPageItems).forEach(c -> add(list, c));
+        boolean isTruncated = remaining.size() > maxPageItems;
+        body.put("truncated", isTruncated).put("at", revision);
+        if (isTruncated) {
+            pageListener.run();
+        }
         return FakeServer.Reply.json(body.toString());
     }
 
--- /dev/null
+++ b/gateway/src/main/java/org/citrontide/gateway/store/MirroredKeys.java
@@ -0,0 +1,48 @@
+package org.citrontide.gateway.store;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.citrontide.platform.ConfigurationDecoder;
+import org.citrontide.platform.MetadataStore.Item;
+import org.citrontide.platform.UpstreamDecoder;
+import org.citrontide.runtime.log.EventLog;
+
+/**
+ * Selects the items of the store that a gateway keeps and passes on to its peers.
+ *
+ * <p>Handles entries of other writers under the keys of upstreams, each of up to a megabyte: they name no upstream, and
+ * must not take the memory of the entries that do. Not thread-safe: confined to the event loop.
+ */
+final class MirroredKeys {
+    private static final EventLog LOG = EventLog.of(MirroredKeys.class);
+    private static final List<String> PREFIXES = List.of(
+            UpstreamDecoder.KEY_PREFIX, GatewayRegistration.PREFIX, CrashEvidenceStore.PREFIX, GroupStore.PREFIX);
+    // An upstream's entry has about 400 bytes, the groups and the crash evidence of 200 upstreams some 60 KB.
+    private static final int MAX_ENTRY_BYTES = 256 * 1024;
+    // Bounds the memory of the keys that were logged.
+    private static final int MAX_LOGGED_KEYS = 1000;
+
+    private final Set<String> loggedKeys = new HashSet<>();
+
+    /** Returns whether an item is kept; logs one that is too large to be what its key says. */
+    boolean accepts(Item i) {
+        if (i.key().equals(ConfigurationDecoder.KEY)) {
+            return true;
+        }
+        if (PREFIXES.stream().noneMatch(i.key()::startsWith)) {
+            return false;
+        }
+        if (i.value().length <= MAX_ENTRY_BYTES) {
+            return true;
+        }
+        if (loggedKeys.size() < MAX_LOGGED_KEYS && loggedKeys.add(i.key())) {
+            LOG.warn("store-entry-too-large")
+                    .with("key", i.key())
+                    .with("bytes", i.value().length)
+                    .write();
+        }
+        return false;
+    }
+}
--- a/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
@@ -32,7 +32,8 @@
  *
  * <p>Invariants: a version of the configuration is passed on only if it is higher than the previous one; an entry that
  * can't be decoded yields no upstream and doesn't affect the others; an unexpected failure of the listener ends neither
- * the handling of other changes nor the watch. Not thread-safe: confined to the event loop.
+ * the handling of other changes nor the watch; a change that is made while the pages are read is seen by the watch that
+ * follows. Not thread-safe: confined to the event loop.
  */
 public final class StoreMirror {
     private static final EventLog LOG = EventLog.of(StoreMirror.class);
@@ -110,6 +111,7 @@
     private final Listener listener;
     private final MembershipView membership = new MembershipView();
     private final Set<String> loggedOnce = new HashSet<>();
+    private final MirroredKeys keys = new MirroredKeys();
     private final Map<String, Item> copy = new TreeMap<>();
     private final List<InetSocketAddress> peers;
     private final Duration watchPause;
@@ -180,24 +182,24 @@
 
     private void readOrWatch() {
         if (revision.isEmpty()) {
-            readAll("", new ArrayList<>());
+            readAll(new FullRead(keys));
         } else {
             watch(revision.get());
         }
     }
 
-    private void readAll(String after, List<Item> items) {
-        callStore(MetadataStore.range(ALL_KEYS, after), body -> {
+    private void readAll(FullRead read) {
+        callStore(MetadataStore.range(ALL_KEYS, read.lastKey()), body -> {
             MetadataStore.Page page = MetadataStore.decodePage(body);
-            items.addAll(page.items());
+            read.add(page);
             if (page.isTruncated() && !page.items().isEmpty()) {
-                readAll(page.items().getLast().key(), items);
+                readAll(read);
                 return;
             }
-            handleFullRead(items);
-            revision = Optional.of(page.revision());
+            handleFullRead(read);
+            revision = Optional.of(read.revision());
             LOG.info("store-read")
-                    .with("revision", page.revision())
+                    .with("revision", read.revision())
                     .with("upstreams", membership.upstreams().size())
                     .write();
             schedule(watchPause);
@@ -236,15 +238,17 @@
                 .with("revision", page.revision())
                 .with("own-revision", revision.orElse(0L))
                 .write();
-        handleFullRead(page.items());
+        FullRead read = new FullRead(keys);
+        read.add(page);
+        handleFullRead(read);
         revision = Optional.of(page.revision());
     }
 
-    private void handleFullRead(List<Item> items) {
+    private void handleFullRead(FullRead read) {
         copy.clear();
-        items.forEach(this::addToCopy);
+        read.items().forEach(i -> copy.put(i.key(), i));
         List<ListedUpstream> upstreams = new ArrayList<>();
-        for (Item i : items) {
+        for (Item i : read.items()) {
             if (i.key().equals(ConfigurationDecoder.KEY)) {
                 handleConfiguration(i);
             }
@@ -257,15 +261,14 @@
         notifyListener("gateways", () -> listener.gatewaysUpdated(gateways()));
         notifyListener("crash-evidence", () -> listener.crashEvidenceUpdated(copies(CrashEvidenceStore.PREFIX)));
         notifyListener("groups", () -> listener.groupsUpdated(copies(GroupStore.PREFIX)));
-        boolean isLeaderKeyHeld = items.stream().anyMatch(i -> i.key().equals(LeaderElection.LEADER_KEY));
-        notifyListener("leader-key", () -> listener.leaderKeyUpdated(isLeaderKeyHeld));
+        notifyListener("leader-key", () -> listener.leaderKeyUpdated(read.isLeaderKeyHeld()));
         notifyListener("upstreams", () -> listener.upstreamsUpdated(membership.upstreams()));
     }
 
     private void watch(long after) {
         callStore(MetadataStore.watch(ALL_KEYS, after, isStoreUnavailable ? Duration.ZERO : WATCH_WAIT), body -> {
             MetadataStore.Changes changes = MetadataStore.decodeChanges(body);
-            changes.changes().forEach(this::handleChange);
+            changes.changes().stream().filter(this::isNews).forEach(this::handleChange);
             if (hasChange(changes, CrashEvidenceStore.PREFIX)) {
                 notifyListener(
                         "crash-evidence", () -> listener.crashEvidenceUpdated(copies(CrashEvidenceStore.PREFIX)));
@@ -282,20 +285,17 @@
         });
     }
 
-    private void addToCopy(Item i) {
-        if (i.key().equals(ConfigurationDecoder.KEY)
-                || i.key().startsWith(UpstreamDecoder.KEY_PREFIX)
-                || i.key().startsWith(GatewayRegistration.PREFIX)
-                || i.key().startsWith(CrashEvidenceStore.PREFIX)
-                || i.key().startsWith(GroupStore.PREFIX)) {
-            copy.put(i.key(), i);
-        }
+    /** Returns whether a change is newer than what a full read has already shown of its key. */
+    private boolean isNews(Change c) {
+        Item known = copy.get(c.key());
+        return known == null || known.revision() < c.revision();
     }
 
     private void handleChange(Change c) {
-        c.item().ifPresentOrElse(this::addToCopy, () -> copy.remove(c.key()));
+        Optional<Item> item = c.item().filter(keys::accepts);
+        item.ifPresentOrElse(i -> copy.put(c.key(), i), () -> copy.remove(c.key()));
         if (c.key().equals(ConfigurationDecoder.KEY)) {
-            c.item().ifPresent(this::handleConfiguration);
+            item.ifPresent(this::handleConfiguration);
         }
         if (c.key().startsWith(GatewayRegistration.PREFIX)) {
             notifyListener("gateways", () -> listener.gatewaysUpdated(gateways()));
@@ -308,7 +308,7 @@
             return;
         }
         String id = c.key().substring(UpstreamDecoder.KEY_PREFIX.length());
-        Optional<ListedUpstream> upstream = c.item().flatMap(this::decode);
+        Optional<ListedUpstream> upstream = item.flatMap(this::decode);
         if (upstream.isPresent()) {
             logDraining(upstream.get());
             membership.putEntry(upstream.get());
--- a/gateway/src/test/java/org/citrontide/gateway/store/StoreMirrorTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/store/StoreMirrorTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 
 import io.netty.channel.EventLoop;
@@ -62,6 +63,26 @@
         }
     }
 
+    /** Guards against a change that no read shows: made after its page was read and before the last page was. */
+    @Test
+    void seesAChangeThatIsMadeBetweenTwoPages() {
+        FailingListener listener = new FailingListener();
+        store.put("op/config", configuration(1));
+        for (int i = 0; i < 6; i++) {
+            store.put("servers/u" + i, ENTRY);
+        }
+        AtomicInteger pages = new AtomicInteger();
+        store.setPages(2, () -> {
+            int page = pages.incrementAndGet();
+            store.put("op/config", configuration(1 + page));
+            store.remove("servers/u0");
+        });
+        startMirror(listener);
+        await("the upstreams of the last page are known", () -> listener.upstreams.contains("u5"));
+        await("the version written between the last two pages", () -> listener.versions.contains(1L + pages.get()));
+        await("the removed upstream is gone", () -> !listener.latest.contains("u0"));
+    }
+
     @Test
     void pauseBetweenWatchesLeavesMostOfTheLimitAndIsNoOutage() {
         assertEquals(Duration.ofMillis(750), StoreMirror.watchPause(Duration.ofSeconds(2)));
@@ -99,6 +120,7 @@
     private static final class FailingListener implements StoreMirror.Listener {
         private final Set<String> upstreams = ConcurrentHashMap.newKeySet();
         private final List<Long> versions = new CopyOnWriteArrayList<>();
+        private volatile List<String> latest = List.of();
 
         @Override
         public void configurationChanged(RoutingTable table) {
@@ -108,7 +130,8 @@
 
         @Override
         public void upstreamsUpdated(List<ListedUpstream> list) {
-            list.forEach(u -> upstreams.add(u.id()));
+            latest = list.stream().map(ListedUpstream::id).toList();
+            upstreams.addAll(latest);
             throw new IllegalStateException("upstreams");
         }
 
