Read all pages instead of a watch whose response is too large

Eight unreadable entries of 1 MB exceeded the 8 MB that a response of the store may have; the gateway took that for an outage of the store and asked for the same revision again until its history was gone. An upstream that left got work to its end.

PlatformClient now tells a response that is too large from one that is missing, and StoreMirror reads the pages, each of which ends after about a megabyte. The limit falls from 8 to 4 MB: a page has at most two values of 1 MB, and reading a response takes three times its size of a heap of 64 MB.

Ruled out: a larger limit (the events of one pause have none), and reading the watch event by event (its bytes would still take the time of the link).

StoreMirrorTest.goesOnAfterEntriesThatMakeAWatchTooLarge: timed out on the code before, green now.

--- a/gateway/src/main/java/org/citrontide/gateway/store/PlatformClient.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/PlatformClient.java
@@ -33,6 +33,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.TooLongHttpContentException;
 import org.citrontide.gateway.http.MalformedResponseException;
 import org.citrontide.gateway.http.ProbedSocketChannel;
 import org.citrontide.gateway.http.ResponseDecoder;
@@ -54,8 +55,9 @@
 public final class PlatformClient {
     private static final EventLog LOG = EventLog.of(PlatformClient.class);
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(1000);
-    // The longest response is a page of the store, which holds about a megabyte before encoding.
-    private static final int MAX_STORE_RESPONSE_BYTES = 8 * 1024 * 1024;
+    // A page of the store ends after about a megabyte of values, the last of which may have a megabyte too, and Base64
+    // adds a third. Reading a response takes about three times its size of the heap.
+    private static final int MAX_STORE_RESPONSE_BYTES = 4 * 1024 * 1024;
     // The longest response is the counts of all experts: 60 sets of 384 numbers of up to ten digits have 250 KB.
     private static final int MAX_ENGINE_RESPONSE_BYTES = 512 * 1024;
 
@@ -95,7 +97,8 @@
      * @param address address of the server
      * @param call the call to send
      * @param timeout maximum time until the response
-     * @return the response; completes exceptionally with an {@link IOException} if there is none
+     * @return the response; completes exceptionally with an {@link IOException} if there is none, which is a
+     *     {@link ResponseTooLargeException} if the response exceeds the limit of this client
      */
     public CompletableFuture<PlatformResponse> call(InetSocketAddress address, PlatformCall call, Duration timeout) {
         callCount++;
@@ -301,6 +304,9 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (cause instanceof TooLongHttpContentException) {
+                failWith(pendingResponse, new ResponseTooLargeException(address, maxResponseBytes));
+            }
             ctx.close();
         }
 
@@ -324,9 +330,13 @@
         }
 
         private void fail(CompletableFuture<PlatformResponse> response, String reason) {
+            failWith(response, new IOException(reason + ": " + address));
+        }
+
+        private void failWith(CompletableFuture<PlatformResponse> response, IOException failure) {
             pendingResponse = null;
             if (response != null) {
-                response.completeExceptionally(new IOException(reason + ": " + address));
+                response.completeExceptionally(failure);
             }
         }
     }
--- a/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
 import io.netty.channel.EventLoop;
@@ -33,7 +34,8 @@
  * <p>Invariants: a version of the configuration is passed on only if it is higher than the previous one; an entry that
  * can't be decoded yields no upstream and doesn't affect the others; an unexpected failure of the listener ends neither
  * the handling of other changes nor the watch; a change that is made while the pages are read is seen by the watch that
- * follows. Not thread-safe: confined to the event loop.
+ * follows; a watch whose response is too large is replaced by a read of all pages, each of which has a bounded size.
+ * Not thread-safe: confined to the event loop.
  */
 public final class StoreMirror {
     private static final EventLog LOG = EventLog.of(StoreMirror.class);
@@ -117,6 +119,7 @@
     private final Duration watchPause;
     private int consecutiveFailures;
     private Optional<Long> revision = Optional.empty();
+    private boolean isFullReadDue;
     private long version;
     private boolean isStoreUnavailable;
     private long lastResponseNanos = System.nanoTime();
@@ -181,7 +184,7 @@
     }
 
     private void readOrWatch() {
-        if (revision.isEmpty()) {
+        if (revision.isEmpty() || isFullReadDue) {
             readAll(new FullRead(keys));
         } else {
             watch(revision.get());
@@ -196,6 +199,7 @@
                 readAll(read);
                 return;
             }
+            isFullReadDue = false;
             handleFullRead(read);
             revision = Optional.of(read.revision());
             LOG.info("store-read")
@@ -206,6 +210,16 @@
         });
     }
 
+    /** Reads all pages instead of a watch whose response exceeds what a process may hold at once. */
+    private void handleWatchTooLarge(String reason) {
+        LOG.warn("store-watch-too-large")
+                .with("revision", revision.orElse(0L))
+                .with("why", reason)
+                .write();
+        isFullReadDue = true;
+        schedule(Duration.ZERO);
+    }
+
     /**
      * Reads the copies of all peers: the store may be unavailable to this process but not to others, and some of the
      * peers may be unable to reach it as well.
@@ -266,23 +280,27 @@
     }
 
     private void watch(long after) {
-        callStore(MetadataStore.watch(ALL_KEYS, after, isStoreUnavailable ? Duration.ZERO : WATCH_WAIT), body -> {
-            MetadataStore.Changes changes = MetadataStore.decodeChanges(body);
-            changes.changes().stream().filter(this::isNews).forEach(this::handleChange);
-            if (hasChange(changes, CrashEvidenceStore.PREFIX)) {
-                notifyListener(
-                        "crash-evidence", () -> listener.crashEvidenceUpdated(copies(CrashEvidenceStore.PREFIX)));
-            }
-            if (hasChange(changes, GroupStore.PREFIX)) {
-                notifyListener("groups", () -> listener.groupsUpdated(copies(GroupStore.PREFIX)));
-            }
-            boolean hasExpired = membership.expire(System.nanoTime());
-            if (hasExpired || !changes.changes().isEmpty()) {
-                notifyListener("upstreams", () -> listener.upstreamsUpdated(membership.upstreams()));
-            }
-            revision = Optional.of(Math.max(after, changes.revision()));
-            schedule(watchPause);
-        });
+        callStore(
+                MetadataStore.watch(ALL_KEYS, after, isStoreUnavailable ? Duration.ZERO : WATCH_WAIT),
+                body -> {
+                    MetadataStore.Changes changes = MetadataStore.decodeChanges(body);
+                    changes.changes().stream().filter(this::isNews).forEach(this::handleChange);
+                    if (hasChange(changes, CrashEvidenceStore.PREFIX)) {
+                        notifyListener(
+                                "crash-evidence",
+                                () -> listener.crashEvidenceUpdated(copies(CrashEvidenceStore.PREFIX)));
+                    }
+                    if (hasChange(changes, GroupStore.PREFIX)) {
+                        notifyListener("groups", () -> listener.groupsUpdated(copies(GroupStore.PREFIX)));
+                    }
+                    boolean hasExpired = membership.expire(System.nanoTime());
+                    if (hasExpired || !changes.changes().isEmpty()) {
+                        notifyListener("upstreams", () -> listener.upstreamsUpdated(membership.upstreams()));
+                    }
+                    revision = Optional.of(Math.max(after, changes.revision()));
+                    schedule(watchPause);
+                },
+                this::handleWatchTooLarge);
     }
 
     /** Returns whether a change is newer than what a full read has already shown of its key. */
@@ -384,8 +402,16 @@
     }
 
     private void callStore(PlatformCall call, ResponseHandler handler) {
+        callStore(call, handler, this::handleUnavailable);
+    }
+
+    private void callStore(PlatformCall call, ResponseHandler handler, Consumer<String> tooLargeHandler) {
         client.call(store, call, isStoreUnavailable ? OUTAGE_CALL_TIMEOUT : CALL_TIMEOUT)
                 .whenComplete((response, failure) -> {
+                    if (failure instanceof ResponseTooLargeException) {
+                        tooLargeHandler.accept(failure.getMessage());
+                        return;
+                    }
                     if (failure != null) {
                         handleUnavailable(failure.getMessage());
                         return;
--- a/gateway/src/test/java/org/citrontide/gateway/store/StoreMirrorTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/store/StoreMirrorTest.java
@@ -83,6 +83,27 @@
         await("the removed upstream is gone", () -> !listener.latest.contains("u0"));
     }
 
+    /** Guards against a watch that exceeds the limit of the client, and is repeated from the same revision for ever. */
+    @Test
+    void goesOnAfterEntriesThatMakeAWatchTooLarge() {
+        FailingListener listener = new FailingListener();
+        store.put("op/config", configuration(1));
+        store.put("servers/a", ENTRY);
+        startMirror(listener);
+        await("the first upstream is known", () -> listener.latest.contains("a"));
+        String junk = "x".repeat(1_000_000);
+        store.setPages(1, () -> {});
+        for (int i = 0; i < 8; i++) {
+            store.put("servers/junk" + i, junk);
+        }
+        store.remove("servers/a");
+        store.put("servers/b", ENTRY);
+        store.put("op/config", configuration(2));
+        await("the new upstream is known", () -> listener.latest.contains("b"));
+        await("the removed upstream is gone", () -> !listener.latest.contains("a"));
+        await("the new version is known", () -> listener.versions.contains(2L));
+    }
+
     @Test
     void pauseBetweenWatchesLeavesMostOfTheLimitAndIsNoOutage() {
         assertEquals(Duration.ofMillis(750), StoreMirror.watchPause(Duration.ofSeconds(2)));
