Keep requests out of evacuated zones and in their home regions

The dispatcher sent requests to any upstream of a service, so an operator could not take a zone out of service, nor a route or a team stay in its regions.

LocalityPolicy (core.locality) decides from the evacuated zones, the regions of the zones and the regions allowed by route and team; UpstreamPlacement.eligible asks it for every attempt. A request without any upstream left is refused at once as not run, also one that waits. Attempts in an evacuated zone whose request has not begun to be written are withdrawn and placed again without a retry. A group is judged by all of its members, a group in an evacuated zone does not count as an alternative, and the rate limits of one region do not hold back the requests of others. StoreMirror keeps the keys op/evacuate/ZONE without their values in the copy for peers; GatewayShell writes a log line for each change, sets a gauge, and reports returned zones as ZonesReturned, which the dispatcher does not use yet. Without evacuations and regions the list of upstreams is passed on unchanged.

A fault of the mirror found on the way: while a full read was due because the store had dropped its history, the copy of a peer was taken whatever its revision, so an older one ended an evacuation. The newest revision is now remembered in that state, too.

Ruled out: treating evacuated upstreams as draining, which would take members from their groups' health; the outcome Unreached for withdrawn attempts, which would pause an upstream that has done nothing wrong; values of the keys in the copy, since one of 1 MB would keep peers from reading it.

--- a/core/src/main/java/org/citrontide/core/gateway/AttemptOutcome.java
+++ b/core/src/main/java/org/citrontide/core/gateway/AttemptOutcome.java
@@ -61,6 +61,9 @@
     /** The upstream was unreachable, and no byte of the request was sent. */
     record Unreached() implements AttemptOutcome {}
 
+    /** The gateway gave the attempt up before it began to write the request, so no byte was sent. */
+    record Withdrawn() implements AttemptOutcome {}
+
     /**
      * The request may have run, and its response is missing or incomplete.
      *
--- a/core/src/main/java/org/citrontide/core/gateway/DispatchHandler.java
+++ b/core/src/main/java/org/citrontide/core/gateway/DispatchHandler.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 
 import org.citrontide.core.routes.Route;
 import org.citrontide.core.verdict.Reason;
@@ -44,7 +45,9 @@
         if (tryRefuseQuarantined(open)) {
             return;
         }
-        if (queue(open).tryAdmit(request, nowNanos)) {
+        if (state.placement.isExcluded(open)) {
+            fail(open, Reason.NO_UPSTREAM);
+        } else if (queue(open).tryAdmit(request, nowNanos)) {
             send(open, Reason.NO_UPSTREAM);
         } else {
             waitOrFail(open);
@@ -65,7 +68,10 @@
             fail(open, noUpstreamReason);
             return;
         }
-        queue(open).blockUntil(openNanos.getAsLong());
+        // The upstreams of other regions may be open to the other requests of the service.
+        if (!open.request.isRegional()) {
+            queue(open).blockUntil(openNanos.getAsLong());
+        }
         waitOrFail(open);
     }
 
@@ -195,6 +201,21 @@
         }
     }
 
+    /** Withdraws the unsent attempts in evacuated zones, and ends the waiting requests that have no upstream left. */
+    void handleEvacuatedZones(Set<String> zones) {
+        state.placement.setEvacuatedZones(zones);
+        for (OpenGatewayRequest open : List.copyOf(state.openById.values())) {
+            if (open.attempt.isPresent()) {
+                OpenGatewayRequest.Attempt attempt = open.attempt.get();
+                if (!attempt.isStarted && state.placement.isInEvacuatedZone(attempt.upstream)) {
+                    actions.add(new GatewayAction.WithdrawAttempt(attempt.number));
+                }
+            } else if (open.awaitedCheck.isEmpty() && state.placement.isExcluded(open)) {
+                fail(open, Reason.NO_UPSTREAM);
+            }
+        }
+    }
+
     /** Ends a request whose prompt has a quarantined part; returns whether it has one. */
     private boolean tryRefuseQuarantined(OpenGatewayRequest open) {
         Optional<Verdict.NotRun> refusal = state.crashGuard.findRefusal(open.request, nowNanos);
@@ -258,6 +279,11 @@
                 open.attemptCount--;
                 send(open, Reason.UPSTREAM_UNREACHABLE);
             }
+            case AttemptOutcome.Withdrawn w -> {
+                open.attemptCount--;
+                open.triedIds.remove(attempt.upstream.entry().id());
+                send(open, Reason.NO_UPSTREAM);
+            }
             case AttemptOutcome.Rejected r
             when r.cause() == AttemptOutcome.Rejected.Cause.GROUP_BROKEN -> {
                 handleGroupBroken(open, attempt);
@@ -292,13 +318,17 @@
             return;
         }
         state.groupHealth.recordRejection(member, nowNanos);
-        if (state.groupHealth.hasOtherGroup(member, all, nowNanos)) {
+        if (state.groupHealth.hasOtherGroup(member, state.placement.eligible(open), all, nowNanos)) {
             retryOrFail(open, Reason.NO_UPSTREAM);
             return;
         }
         if (queue(open).recordGroupDown(nowNanos)) {
             reportGroupState(open.request.service());
         }
+        if (state.placement.isExcluded(open)) {
+            fail(open, Reason.NO_UPSTREAM);
+            return;
+        }
         waitOrFail(open);
     }
 
--- a/core/src/main/java/org/citrontide/core/gateway/DispatchState.java
+++ b/core/src/main/java/org/citrontide/core/gateway/DispatchState.java
@@ -7,6 +7,8 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
+import org.citrontide.core.locality.LocalityPolicy;
+
 /** What a {@link GatewayDispatcher} keeps between events. Not thread-safe: confined to the dispatcher's thread. */
 final class DispatchState {
     final UpstreamRegistry registry = new UpstreamRegistry();
@@ -22,8 +24,12 @@
             Comparator.comparingLong(GatewayRequest::deadlineNanos).thenComparingLong(GatewayRequest::id));
     long nextAttemptNumber = 1;
 
-    DispatchState(String zone, Supplier<GatewayRetryBudget> retryBudgetFactory, RandomGenerator random) {
-        this.placement = new UpstreamPlacement(registry, groupHealth, new UpstreamSelector(zone, random));
+    DispatchState(
+            String zone,
+            LocalityPolicy locality,
+            Supplier<GatewayRetryBudget> retryBudgetFactory,
+            RandomGenerator random) {
+        this.placement = new UpstreamPlacement(registry, locality, groupHealth, new UpstreamSelector(zone, random));
         this.retryAfterPolicy = new RetryAfterPolicy(random);
         this.services = new ServiceStates(retryBudgetFactory);
     }
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayAction.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayAction.java
@@ -58,6 +58,14 @@
      */
     record CancelAttempt(long attempt) implements GatewayAction {}
 
+    /**
+     * Gives an attempt up if the writing of its request has not begun; the attempt then ends as
+     * {@link AttemptOutcome.Withdrawn}. Otherwise the attempt goes on.
+     *
+     * @param attempt number of the attempt
+     */
+    record WithdrawAttempt(long attempt) implements GatewayAction {}
+
     /**
      * Sends the response of an attempt, which the shell holds, to the caller.
      *
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
@@ -6,6 +6,7 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
+import org.citrontide.core.locality.LocalityPolicy;
 import org.citrontide.core.verdict.Verdict;
 
 /**
@@ -20,6 +21,7 @@
  *   <li>A request that must run at most once gets another attempt only if all earlier ones certainly did not run.
  *   <li>A response that has started ends as complete only with an attempt that continued it successfully.
  *   <li>A request reaches at most as many upstreams as its route allows, and retries stay within the retry budget.
+ *   <li>No attempt is sent to an upstream of an evacuated zone, or of a region that the route or the team excludes.
  *   <li>No attempt is sent for a prompt with a quarantined part, nor a second one for a prompt that may have crashed an
  *       upstream and has a part that no upstream is known to have answered.
  * </ul>
@@ -37,7 +39,23 @@
      * @param random source of randomness for upstream selection and for the jitter of retry delays
      */
     public GatewayDispatcher(String zone, Supplier<GatewayRetryBudget> retryBudgetFactory, RandomGenerator random) {
-        this.state = new DispatchState(zone, retryBudgetFactory, random);
+        this(zone, Map.of(), retryBudgetFactory, random);
+    }
+
+    /**
+     * Creates a dispatcher without upstreams.
+     *
+     * @param zone the gateway's availability zone
+     * @param regionByZone region of each zone whose region is known
+     * @param retryBudgetFactory factory of the retry budget of each service
+     * @param random source of randomness for upstream selection and for the jitter of retry delays
+     */
+    public GatewayDispatcher(
+            String zone,
+            Map<String, String> regionByZone,
+            Supplier<GatewayRetryBudget> retryBudgetFactory,
+            RandomGenerator random) {
+        this.state = new DispatchState(zone, new LocalityPolicy(regionByZone), retryBudgetFactory, random);
     }
 
     /**
@@ -66,6 +84,10 @@
             case GatewayEvent.SlotsUpdated u -> state.placement.setSlots(u.slots());
             case GatewayEvent.UpstreamChecked c -> handler.handleUpstreamChecked(c);
             case GatewayEvent.CrashEvidenceUpdated c -> handler.handleCrashEvidence(c);
+            case GatewayEvent.EvacuatedZonesUpdated e -> handler.handleEvacuatedZones(e.zones());
+            case GatewayEvent.ZonesReturned z -> {
+                // Upstreams that were without requests are not treated differently yet.
+            }
             case GatewayEvent.Tick t -> handler.tick();
         }
         return handler.actions();
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayEvent.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayEvent.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.Set;
 
 import org.citrontide.core.quarantine.CrashEvidence;
 import org.citrontide.core.routes.ListedUpstream;
@@ -119,6 +120,33 @@
         }
     }
 
+    /**
+     * The set of evacuated zones changed.
+     *
+     * @param zones names of all zones whose upstreams get no requests
+     */
+    record EvacuatedZonesUpdated(Set<String> zones) implements GatewayEvent {
+
+        /** Copies the set. */
+        public EvacuatedZonesUpdated {
+            zones = Set.copyOf(zones);
+        }
+    }
+
+    /**
+     * Zones were put back into service; their upstreams are cold. Precedes the {@link EvacuatedZonesUpdated} after
+     * which they get requests.
+     *
+     * @param zones names of the zones
+     */
+    record ZonesReturned(Set<String> zones) implements GatewayEvent {
+
+        /** Copies the set. */
+        public ZonesReturned {
+            zones = Set.copyOf(zones);
+        }
+    }
+
     /** The periodic timer fired. */
     record Tick() implements GatewayEvent {}
 }
--- a/core/src/main/java/org/citrontide/core/gateway/GroupHealth.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GroupHealth.java
@@ -91,9 +91,15 @@
         });
     }
 
-    /** Returns the upstreams without those of groups that are down or stalled, or all if none would remain. */
-    List<UpstreamState> selectable(List<UpstreamState> upstreams, long nowNanos) {
-        Set<String> avoided = avoidedGroups(upstreams, nowNanos);
+    /**
+     * Returns the upstreams without those of groups that are down or stalled, or all if none would remain.
+     *
+     * @param upstreams the upstreams to choose from
+     * @param all all upstreams of the service: the streams of members that get no requests also show whether a group is
+     *     stalled
+     */
+    List<UpstreamState> selectable(List<UpstreamState> upstreams, List<UpstreamState> all, long nowNanos) {
+        Set<String> avoided = avoidedGroups(all, nowNanos);
         if (avoided.isEmpty()) {
             return upstreams;
         }
@@ -103,9 +109,14 @@
         return remaining.stream().anyMatch(u -> u.isAccepting(nowNanos)) ? remaining : upstreams;
     }
 
-    /** Returns whether another group of a service than that of an upstream takes requests. */
-    boolean hasOtherGroup(UpstreamState member, List<UpstreamState> upstreams, long nowNanos) {
-        Set<String> avoided = avoidedGroups(upstreams, nowNanos);
+    /**
+     * Returns whether another group of a service than that of an upstream takes requests.
+     *
+     * @param upstreams the upstreams to choose from
+     * @param all all upstreams of the service
+     */
+    boolean hasOtherGroup(UpstreamState member, List<UpstreamState> upstreams, List<UpstreamState> all, long nowNanos) {
+        Set<String> avoided = avoidedGroups(all, nowNanos);
         return upstreams.stream()
                 .anyMatch(u -> areOfDifferentGroups(u, member)
                         && !avoided.contains(groupOf(u).orElseThrow())
--- a/core/src/main/java/org/citrontide/core/gateway/UpstreamState.java
+++ b/core/src/main/java/org/citrontide/core/gateway/UpstreamState.java
@@ -182,6 +182,9 @@
             case AttemptOutcome.Broken b -> recordFailure(nowNanos);
             case AttemptOutcome.Unreached u -> recordUnreachable(nowNanos);
             case AttemptOutcome.Rejected r -> recordRejection(r.cause(), nowNanos);
+            case AttemptOutcome.Withdrawn w -> {
+                // Says nothing about the upstream.
+            }
         }
     }
 
--- a/core/src/main/java/org/citrontide/core/routes/Route.java
+++ b/core/src/main/java/org/citrontide/core/routes/Route.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
+import java.util.Set;
 
 /**
  * The handling of requests for one host and path prefix. Immutable.
@@ -19,6 +20,7 @@
  * @param maxAttempts maximum number of upstreams that one request is sent to
  * @param priority rank of the requests in the admission order, 0 first
  * @param isPublic whether callers may omit the API key
+ * @param allowedRegions regions of the upstreams that the requests may go to, empty for all
  */
 public record Route(
         String name,
@@ -32,7 +34,8 @@
         Duration targetGap,
         int maxAttempts,
         int priority,
-        boolean isPublic) {
+        boolean isPublic,
+        Set<String> allowedRegions) {
 
     /** How a request may be retried after an attempt that may have run. */
     public enum RetrySafety {
@@ -57,6 +60,7 @@
         Objects.requireNonNull(name);
         Objects.requireNonNull(retrySafety);
         splits = List.copyOf(splits);
+        allowedRegions = Set.copyOf(allowedRegions);
         if (splits.isEmpty()) {
             throw new IllegalArgumentException("route " + name + " has no service");
         }
@@ -66,6 +70,51 @@
         }
     }
 
+    /**
+     * Creates a route whose requests may go to all regions.
+     *
+     * @param name name of the route, for logs
+     * @param host host name in lower case
+     * @param prefix prefix of the matching paths, with a slash at both ends
+     * @param splits weighted services that share the traffic, at least one
+     * @param retrySafety how a request may be retried after an attempt that may have run
+     * @param isStreaming whether the response is a stream of events
+     * @param timeout maximum time to the end of a response
+     * @param target target latency: a response within this time is on time
+     * @param targetGap maximum gap between events of a stream that is on time, zero if the response is not a stream
+     * @param maxAttempts maximum number of upstreams that one request is sent to
+     * @param priority rank of the requests in the admission order, 0 first
+     * @param isPublic whether callers may omit the API key
+     */
+    public Route(
+            String name,
+            String host,
+            String prefix,
+            List<Split> splits,
+            RetrySafety retrySafety,
+            boolean isStreaming,
+            Duration timeout,
+            Duration target,
+            Duration targetGap,
+            int maxAttempts,
+            int priority,
+            boolean isPublic) {
+        this(
+                name,
+                host,
+                prefix,
+                splits,
+                retrySafety,
+                isStreaming,
+                timeout,
+                target,
+                targetGap,
+                maxAttempts,
+                priority,
+                isPublic,
+                Set.of());
+    }
+
     /**
      * Returns whether a request may be retried after an attempt that may have run.
      *
--- a/core/src/test/java/org/citrontide/core/gateway/CrashingPromptSimulation.java
+++ b/core/src/test/java/org/citrontide/core/gateway/CrashingPromptSimulation.java
@@ -251,6 +251,7 @@
                 case GatewayAction.SendAttempt s -> reach(g, s);
                 case GatewayAction.CancelAttempt c ->
                     Optional.ofNullable(g.works.remove(c.attempt())).ifPresent(w -> w.isLive = false);
+                case GatewayAction.WithdrawAttempt w -> throw new AssertionError("no zone is evacuated");
                 case GatewayAction.DeliverResponse d -> g.open.remove(d.request()).isOver = true;
                 case GatewayAction.RefuseRequest r -> refused(g.open.remove(r.request()), r.verdict());
                 case GatewayAction.AbortResponse b -> g.open.remove(b.request()).isOver = true;
--- a/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherFaultTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherFaultTest.java
@@ -220,6 +220,7 @@
                 switch (action) {
                     case GatewayAction.SendAttempt s -> checkSent(s);
                     case GatewayAction.CancelAttempt c -> recordCancel(c.attempt());
+                    case GatewayAction.WithdrawAttempt w -> throw new AssertionError("no zone is evacuated");
                     case GatewayAction.DeliverResponse d -> checkEnd(d.request());
                     case GatewayAction.AbortResponse b -> checkEnd(b.request());
                     case GatewayAction.RefuseRequest r -> checkRefusal(r);
--- a/core/src/test/java/org/citrontide/core/gateway/GroupOutageSimulation.java
+++ b/core/src/test/java/org/citrontide/core/gateway/GroupOutageSimulation.java
@@ -244,6 +244,7 @@
                     // Affects only the log.
                 }
                 case GatewayAction.ReportQuarantine c -> throw new AssertionError("no part is suspected");
+                case GatewayAction.WithdrawAttempt w -> throw new AssertionError("no zone is evacuated");
                 case GatewayAction.CancelAttempt c -> liveAttempts.get(g).remove(c.attempt());
             }
         }
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
@@ -67,7 +68,13 @@
         this.shell = shell;
         PlatformClient client = PlatformClient.forStore(loop);
         this.mirror = new StoreMirror(
-                client, settings.storeAddress(), settings.peers(), settings.changeLimit(), loop, random, this);
+                client,
+                settings.storeAddress(),
+                settings.peers(),
+                settings.locality().shortestLimit(settings.changeLimit()),
+                loop,
+                random,
+                this);
         this.crashEvidence = new CrashEvidenceStore(
                 client, settings.storeAddress(), settings.peers(), loop, settings.vm(), shell::updateCrashEvidence);
         shell.setCrashEvidence(crashEvidence);
@@ -145,6 +152,11 @@
         shell.updateGroups(groups.groupByUpstream());
     }
 
+    @Override
+    public void evacuationsUpdated(Set<String> zones) {
+        shell.updateEvacuatedZones(zones);
+    }
+
     @Override
     public void elected(long term) {
         isLeader = true;
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
@@ -83,6 +83,7 @@
             EventLoopGroup eventLoops, PrometheusRegistry registry, RandomGenerator r, RetrySlackShare slackShare) {
         GatewayDispatcher dispatcher = new GatewayDispatcher(
                 settings.zone(),
+                settings.locality().regionByZone(),
                 () -> new GatewayRetryBudget(settings.retryRatio(), settings.retryWindow(), slackShare, startNanos),
                 random.split());
         return new GatewayShell(
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayMetrics.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayMetrics.java
@@ -35,6 +35,7 @@
     private final Gauge openRequestsGauge;
     private final Gauge versionGauge;
     private final Gauge responseBytesGauge;
+    private final Gauge evacuatedZonesGauge;
     private final SendMonitor sendMonitor;
 
     /**
@@ -67,6 +68,8 @@
         versionGauge = gauge(registry, "citrontide_gateway_configuration_version", "Version in force");
         responseBytesGauge =
                 gauge(registry, "citrontide_gateway_response_bytes", "Memory for incomplete responses in bytes");
+        evacuatedZonesGauge =
+                gauge(registry, "citrontide_gateway_evacuated_zones", "Zones whose upstreams get no requests by order");
         sendMonitor = new SendMonitor(registry);
     }
 
@@ -115,6 +118,10 @@
         versionGauge.set(configurationVersion);
     }
 
+    void recordEvacuatedZones(int zones) {
+        evacuatedZonesGauge.set(zones);
+    }
+
     private static Histogram histogram(PrometheusRegistry registry, String name, String help) {
         return Histogram.builder()
                 .name(name)
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayRequestFactory.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayRequestFactory.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 import org.citrontide.core.gateway.CallerWaitEstimator;
@@ -62,7 +63,8 @@
                 PromptParts.parseShared(callerRequest.headers()),
                 waitEstimator.estimateWait(route.name(), timeout),
                 now,
-                now + timeout.toNanos());
+                now + timeout.toNanos(),
+                head.team().map(Team::allowedRegions).orElse(Set.of()));
     }
 
     private static Duration timeout(CallerRequest request, Route route) {
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
@@ -18,6 +19,7 @@
 import org.citrontide.core.gateway.ResponseMemory;
 import org.citrontide.core.gateway.SendSlots;
 import org.citrontide.core.gateway.StopSchedule;
+import org.citrontide.core.locality.EvacuationTracker;
 import org.citrontide.core.quarantine.CrashEvidence;
 import org.citrontide.core.routes.ListedUpstream;
 import org.citrontide.core.routes.Route;
@@ -57,6 +59,7 @@
     private final GatewayRequestFactory requestFactory;
     private final GatewayMetrics metrics;
     private final RequestLog log = new RequestLog();
+    private final EvacuationTracker evacuations = new EvacuationTracker();
     private final Map<Long, OpenExchange> openById = new HashMap<>();
     private final Map<Long, OpenExchange> openByAttempt = new HashMap<>();
     private final Map<CallerRequest, Long> idByRequest = new HashMap<>();
@@ -150,6 +153,24 @@
         handle(new GatewayEvent.GroupsUpdated(groupByUpstream));
     }
 
+    /**
+     * Updates the evacuated zones, whose upstreams get no requests.
+     *
+     * @param zones names of all evacuated zones
+     */
+    public void updateEvacuatedZones(Set<String> zones) {
+        EvacuationTracker.Change change = evacuations.replace(zones);
+        if (change.isEmpty()) {
+            return;
+        }
+        log.logEvacuations(change);
+        metrics.recordEvacuatedZones(zones.size());
+        if (!change.returned().isEmpty()) {
+            handle(new GatewayEvent.ZonesReturned(change.returned()));
+        }
+        handle(new GatewayEvent.EvacuatedZonesUpdated(zones));
+    }
+
     /**
      * Sets when this gateway may send to upstreams with a rate limit.
      *
@@ -314,6 +335,7 @@
             switch (action) {
                 case GatewayAction.SendAttempt s -> sendAttempt(s);
                 case GatewayAction.CancelAttempt c -> cancelAttempt(c.attempt());
+                case GatewayAction.WithdrawAttempt w -> withdrawAttempt(w.attempt());
                 case GatewayAction.DeliverResponse d -> deliverResponse(d);
                 case GatewayAction.RefuseRequest r -> refuseRequest(r);
                 case GatewayAction.AbortResponse b -> abortResponse(b);
@@ -377,6 +399,12 @@
         }
     }
 
+    private void withdrawAttempt(long attempt) {
+        Optional.ofNullable(openByAttempt.get(attempt))
+                .flatMap(exchange -> exchange.attempt)
+                .ifPresent(connectionPool::withdraw);
+    }
+
     private void startResponse(OpenExchange exchange, ResponseHead head) {
         if (exchange.responseStarted) {
             return;
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/RequestLog.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/RequestLog.java
@@ -6,6 +6,7 @@
 import org.citrontide.core.gateway.AttemptOutcome;
 import org.citrontide.core.gateway.GatewayAction;
 import org.citrontide.core.gateway.RetryBudgetState;
+import org.citrontide.core.locality.EvacuationTracker;
 import org.citrontide.core.quarantine.CrashEvidence;
 import org.citrontide.core.quarantine.PromptQuarantine;
 import org.citrontide.core.routes.ListedUpstream;
@@ -195,6 +196,13 @@
                 .write();
     }
 
+    void logEvacuations(EvacuationTracker.Change change) {
+        change.evacuated()
+                .forEach(zone -> LOG.info("zone-evacuated").with("zone", zone).write());
+        change.returned()
+                .forEach(zone -> LOG.info("zone-returned").with("zone", zone).write());
+    }
+
     void logMalformedRateLimit(ListedUpstream upstream, String value) {
         LOG.warn("upstream-limit-unusable")
                 .with("upstream", upstream.id())
--- a/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
@@ -12,6 +12,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 
 import io.netty.channel.EventLoop;
 import org.citrontide.core.gateway.MembershipView;
@@ -19,6 +20,7 @@
 import org.citrontide.core.routes.RoutingTable;
 import org.citrontide.platform.ConfigurationDecoder;
 import org.citrontide.platform.DecodeException;
+import org.citrontide.platform.EvacuationDecoder;
 import org.citrontide.platform.MetadataStore;
 import org.citrontide.platform.MetadataStore.Change;
 import org.citrontide.platform.MetadataStore.Item;
@@ -32,7 +34,8 @@
  *
  * <p>Invariants: a version of the configuration is passed on only if it is higher than the previous one; an entry that
  * can't be decoded yields no upstream and doesn't affect the others; an unexpected failure of the listener ends neither
- * the handling of other changes nor the watch. Not thread-safe: confined to the event loop.
+ * the handling of other changes nor the watch; the copy of a peer replaces nothing that is newer. Not thread-safe:
+ * confined to the event loop.
  */
 public final class StoreMirror {
     private static final EventLog LOG = EventLog.of(StoreMirror.class);
@@ -101,6 +104,13 @@
          * @param items all items with groups
          */
         void groupsUpdated(List<Item> items);
+
+        /**
+         * Called when the evacuated zones were read or changed, before the upstreams of the same read.
+         *
+         * @param zones names of all evacuated zones
+         */
+        void evacuationsUpdated(Set<String> zones);
     }
 
     private final PlatformClient client;
@@ -115,6 +125,8 @@
     private final Duration watchPause;
     private int consecutiveFailures;
     private Optional<Long> revision = Optional.empty();
+    // Remains while a new full read is needed, so that the older copy of a peer replaces nothing.
+    private long newestRevision;
     private long version;
     private boolean isStoreUnavailable;
     private long lastResponseNanos = System.nanoTime();
@@ -195,7 +207,7 @@
                 return;
             }
             handleFullRead(items);
-            revision = Optional.of(page.revision());
+            setRevision(page.revision());
             LOG.info("store-read")
                     .with("revision", page.revision())
                     .with("upstreams", membership.upstreams().size())
@@ -228,7 +240,7 @@
 
     private void adoptPeerCopy(InetSocketAddress peer, MetadataStore.Page page) {
         membership.recordStoreServed(System.nanoTime());
-        if (page.revision() <= revision.orElse(0L)) {
+        if (page.revision() < newestRevision || page.revision() <= revision.orElse(0L)) {
             return;
         }
         LOG.info("store-read-from-peer")
@@ -237,7 +249,7 @@
                 .with("own-revision", revision.orElse(0L))
                 .write();
         handleFullRead(page.items());
-        revision = Optional.of(page.revision());
+        setRevision(page.revision());
     }
 
     private void handleFullRead(List<Item> items) {
@@ -254,6 +266,7 @@
         }
         membership.replaceAll(upstreams, System.nanoTime());
         membership.expire(System.nanoTime());
+        notifyListener("evacuations", () -> listener.evacuationsUpdated(evacuatedZones()));
         notifyListener("gateways", () -> listener.gatewaysUpdated(gateways()));
         notifyListener("crash-evidence", () -> listener.crashEvidenceUpdated(copies(CrashEvidenceStore.PREFIX)));
         notifyListener("groups", () -> listener.groupsUpdated(copies(GroupStore.PREFIX)));
@@ -266,6 +279,9 @@
         callStore(MetadataStore.watch(ALL_KEYS, after, isStoreUnavailable ? Duration.ZERO : WATCH_WAIT), body -> {
             MetadataStore.Changes changes = MetadataStore.decodeChanges(body);
             changes.changes().forEach(this::handleChange);
+            if (hasChange(changes, EvacuationDecoder.KEY_PREFIX)) {
+                notifyListener("evacuations", () -> listener.evacuationsUpdated(evacuatedZones()));
+            }
             if (hasChange(changes, CrashEvidenceStore.PREFIX)) {
                 notifyListener(
                         "crash-evidence", () -> listener.crashEvidenceUpdated(copies(CrashEvidenceStore.PREFIX)));
@@ -277,11 +293,16 @@
             if (hasExpired || !changes.changes().isEmpty()) {
                 notifyListener("upstreams", () -> listener.upstreamsUpdated(membership.upstreams()));
             }
-            revision = Optional.of(Math.max(after, changes.revision()));
+            setRevision(Math.max(after, changes.revision()));
             schedule(watchPause);
         });
     }
 
+    private void setRevision(long newRevision) {
+        revision = Optional.of(newRevision);
+        newestRevision = newRevision;
+    }
+
     private void addToCopy(Item i) {
         if (i.key().equals(ConfigurationDecoder.KEY)
                 || i.key().startsWith(UpstreamDecoder.KEY_PREFIX)
@@ -290,6 +311,16 @@
                 || i.key().startsWith(GroupStore.PREFIX)) {
             copy.put(i.key(), i);
         }
+        if (EvacuationDecoder.zone(i.key()).isPresent()) {
+            // The value has no meaning, and a large one would keep peers from reading the copy.
+            copy.put(i.key(), new Item(i.key(), new byte[0], i.revision()));
+        }
+    }
+
+    private Set<String> evacuatedZones() {
+        return copy.keySet().stream()
+                .flatMap(key -> EvacuationDecoder.zone(key).stream())
+                .collect(Collectors.toUnmodifiableSet());
     }
 
     private void handleChange(Change c) {
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamAttempt.java
@@ -24,6 +24,7 @@
     private Optional<ResponseHead> head = Optional.empty();
     private Optional<UpstreamConnection> connection = Optional.empty();
     private boolean onReusedConnection;
+    private boolean sendStarted;
     private boolean written;
     private boolean ended;
 
@@ -145,6 +146,15 @@
         return remaining.minusNanos(nowNanos - decidedNanos);
     }
 
+    /** Returns whether the writing of the request has begun, so that the upstream may receive it. */
+    boolean isSendStarted() {
+        return sendStarted;
+    }
+
+    void setSendStarted() {
+        sendStarted = true;
+    }
+
     /** Returns whether the whole request was handed to the socket. */
     boolean isWritten() {
         return written;
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
@@ -98,6 +98,7 @@
         current = Optional.of(attempt);
         attempt.setConnection(this);
         attempt.setOnReusedConnection(isReused);
+        attempt.setSendStarted();
         skippingResponse = false;
         hasBeenIdle = false;
         requestWritten = false;
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnectionPool.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnectionPool.java
@@ -108,6 +108,19 @@
         attempt.connection().ifPresent(UpstreamConnection::close);
     }
 
+    /**
+     * Gives up an attempt whose connection is still being established, and ends it as withdrawn. An attempt whose
+     * request may have reached the upstream goes on.
+     *
+     * @param attempt the attempt to give up
+     */
+    public void withdraw(UpstreamAttempt attempt) {
+        if (!attempt.isEnded() && !attempt.isSendStarted()) {
+            cancel(attempt);
+            listener.attemptEnded(attempt, new AttemptOutcome.Withdrawn());
+        }
+    }
+
     /**
      * Starts or stops reading the response to an attempt.
      *
--- a/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
@@ -16,6 +16,7 @@
 import org.citrontide.fakes.platform.FakePlatformStore;
 import org.citrontide.gateway.daemon.GatewayDaemon;
 import org.citrontide.gateway.daemon.GatewaySettings;
+import org.citrontide.gateway.daemon.LocalitySettings;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 
@@ -90,7 +91,8 @@
                         RETRY_WINDOW,
                         600,
                         10,
-                        RESPONSE_MEMORY_BYTES),
+                        RESPONSE_MEMORY_BYTES,
+                        LocalitySettings.NONE),
                 1,
                 // A process allows no retry in its first window.
                 System.nanoTime() - RETRY_WINDOW.toNanos());
--- a/gateway/src/test/java/org/citrontide/gateway/daemon/GatewaySettingsTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/daemon/GatewaySettingsTest.java
@@ -1,6 +1,8 @@
 package org.citrontide.gateway.daemon;
 
 import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
 
 import org.junit.jupiter.api.Test;
 
@@ -34,6 +36,30 @@
                 .isEmpty());
     }
 
+    // Guards against a region map that is lost, and against a template that renders an unusable file.
+    @Test
+    void theRegionsOfZonesAreReadFromOneKeyForEachZone() {
+        String lines = "zones.\"z1\" = \"north\"\nzones.\"eu west-1.a\" = \"south\"\nevacuate_limit_ms = 5000\n";
+        LocalitySettings locality = locality(lines);
+        assertEquals(Map.of("z1", "north", "eu west-1.a", "south"), locality.regionByZone());
+        assertEquals(Optional.of(Duration.ofSeconds(5)), locality.evacuationLimit());
+        assertEquals(Duration.ofSeconds(2), locality.shortestLimit(Duration.ofSeconds(2)));
+        assertEquals(Duration.ofSeconds(5), locality.shortestLimit(Duration.ofSeconds(9)));
+        assertEquals(Duration.ofSeconds(1), locality("evacuate_limit_ms = 5\n").shortestLimit(Duration.ofSeconds(2)));
+        assertEquals(LocalitySettings.NONE, locality(""));
+        assertEquals(LocalitySettings.NONE, locality("evacuate_limit_ms = 0\n"));
+        assertTrue(GatewaySettings.parse("f", REQUIRED + "zones.\"z1\" = 3\n")
+                .value()
+                .isEmpty());
+    }
+
+    private static LocalitySettings locality(String lines) {
+        return GatewaySettings.parse("f", REQUIRED + lines)
+                .value()
+                .orElseThrow()
+                .locality();
+    }
+
     private static Duration stopLimit(String lines) {
         return GatewaySettings.parse("f", REQUIRED + lines)
                 .value()
--- a/gateway/src/test/java/org/citrontide/gateway/store/StoreMirrorTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/store/StoreMirrorTest.java
@@ -127,6 +127,11 @@
             throw new IllegalStateException("groups");
         }
 
+        @Override
+        public void evacuationsUpdated(Set<String> zones) {
+            throw new IllegalStateException("evacuations");
+        }
+
         @Override
         public void crashEvidenceUpdated(List<MetadataStore.Item> items) {
             throw new IllegalStateException("crash evidence");
