--- a/gateway/src/main/java/org/citrontide/gateway/store/FullRead.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/FullRead.java
@@ -28,7 +28,7 @@
     void add(MetadataStore.Page page) {
         revision = hasPage ? revision : page.revision();
         hasPage = true;
-        page.items().stream().filter(keys::accepts).forEach(items::add);
+        page.items().stream().flatMap(i -> keys.select(i).stream()).forEach(items::add);
         isLeaderKeyHeld |= page.items().stream().anyMatch(i -> i.key().equals(LeaderElection.LEADER_KEY));
         lastKey = page.items().isEmpty() ? lastKey : page.items().getLast().key();
     }
--- a/gateway/src/main/java/org/citrontide/gateway/store/MirroredKeys.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/MirroredKeys.java
@@ -2,9 +2,11 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 import org.citrontide.platform.ConfigurationDecoder;
+import org.citrontide.platform.EvacuationDecoder;
 import org.citrontide.platform.MetadataStore.Item;
 import org.citrontide.platform.UpstreamDecoder;
 import org.citrontide.runtime.log.EventLog;
@@ -26,8 +28,16 @@
 
     private final Set<String> loggedKeys = new HashSet<>();
 
-    /** Returns whether an item is kept; logs one that is too large to be what its key says. */
-    boolean accepts(Item i) {
+    /** Returns what is kept of an item, empty if nothing is; logs one that is too large to be what its key says. */
+    Optional<Item> select(Item i) {
+        if (EvacuationDecoder.zone(i.key()).isPresent()) {
+            // The value has no meaning, and a large one would keep peers from reading the copy.
+            return Optional.of(new Item(i.key(), new byte[0], i.revision()));
+        }
+        return isKept(i) ? Optional.of(i) : Optional.empty();
+    }
+
+    private boolean isKept(Item i) {
         if (i.key().equals(ConfigurationDecoder.KEY)) {
             return true;
         }
--- a/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 
 import io.netty.channel.EventLoop;
 import org.citrontide.core.gateway.MembershipView;
@@ -20,6 +21,7 @@
 import org.citrontide.core.routes.RoutingTable;
 import org.citrontide.platform.ConfigurationDecoder;
 import org.citrontide.platform.DecodeException;
+import org.citrontide.platform.EvacuationDecoder;
 import org.citrontide.platform.MetadataStore;
 import org.citrontide.platform.MetadataStore.Change;
 import org.citrontide.platform.MetadataStore.Item;
@@ -34,8 +36,8 @@
  * <p>Invariants: a version of the configuration is passed on only if it is higher than the previous one; an entry that
  * can't be decoded yields no upstream and doesn't affect the others; an unexpected failure of the listener ends neither
  * the handling of other changes nor the watch; a change that is made while the pages are read is seen by the watch that
- * follows; a watch whose response is too large is replaced by a read of all pages, each of which has a bounded size.
- * Not thread-safe: confined to the event loop.
+ * follows; a watch whose response is too large is replaced by a read of all pages, each of which has a bounded size; the
+ * copy of a peer replaces nothing that is newer. Not thread-safe: confined to the event loop.
  */
 public final class StoreMirror {
     private static final EventLog LOG = EventLog.of(StoreMirror.class);
@@ -104,6 +106,13 @@
          * @param items all items with groups
          */
         void groupsUpdated(List<Item> items);
+
+        /**
+         * Called when the evacuated zones were read or changed, before the upstreams of the same read.
+         *
+         * @param zones names of all evacuated zones
+         */
+        void evacuationsUpdated(Set<String> zones);
     }
 
     private final PlatformClient client;
@@ -120,6 +129,8 @@
     private int consecutiveFailures;
     private Optional<Long> revision = Optional.empty();
     private boolean isFullReadDue;
+    // Remains while a new full read is needed, so that the older copy of a peer replaces nothing.
+    private long newestRevision;
     private long version;
     private boolean isStoreUnavailable;
     private long lastResponseNanos = System.nanoTime();
@@ -201,7 +212,7 @@
             }
             isFullReadDue = false;
             handleFullRead(read);
-            revision = Optional.of(read.revision());
+            setRevision(read.revision());
             LOG.info("store-read")
                     .with("revision", read.revision())
                     .with("upstreams", membership.upstreams().size())
@@ -244,7 +255,7 @@
 
     private void adoptPeerCopy(InetSocketAddress peer, MetadataStore.Page page) {
         membership.recordStoreServed(System.nanoTime());
-        if (page.revision() <= revision.orElse(0L)) {
+        if (page.revision() < newestRevision || page.revision() <= revision.orElse(0L)) {
             return;
         }
         LOG.info("store-read-from-peer")
@@ -255,7 +266,7 @@
         FullRead read = new FullRead(keys);
         read.add(page);
         handleFullRead(read);
-        revision = Optional.of(page.revision());
+        setRevision(page.revision());
     }
 
     private void handleFullRead(FullRead read) {
@@ -272,6 +283,7 @@
         }
         membership.replaceAll(upstreams, System.nanoTime());
         membership.expire(System.nanoTime());
+        notifyListener("evacuations", () -> listener.evacuationsUpdated(evacuatedZones()));
         notifyListener("gateways", () -> listener.gatewaysUpdated(gateways()));
         notifyListener("crash-evidence", () -> listener.crashEvidenceUpdated(copies(CrashEvidenceStore.PREFIX)));
         notifyListener("groups", () -> listener.groupsUpdated(copies(GroupStore.PREFIX)));
@@ -309,8 +321,19 @@
         return known == null || known.revision() < c.revision();
     }
 
+    private void setRevision(long newRevision) {
+        revision = Optional.of(newRevision);
+        newestRevision = newRevision;
+    }
+
+    private Set<String> evacuatedZones() {
+        return copy.keySet().stream()
+                .flatMap(key -> EvacuationDecoder.zone(key).stream())
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
     private void handleChange(Change c) {
-        Optional<Item> item = c.item().filter(keys::accepts);
+        Optional<Item> item = c.item().flatMap(keys::select);
         item.ifPresentOrElse(i -> copy.put(c.key(), i), () -> copy.remove(c.key()));
         if (c.key().equals(ConfigurationDecoder.KEY)) {
             item.ifPresent(this::handleConfiguration);
