Read the rate limit of cold upstreams and how long each stays cold

The configuration names cold_s and cold_per_s for a service, and an upstream's entry says cold_remaining_ms; both were dropped. ServiceProfile now has an optional ColdRule (none if a field is absent or 0), and ListedUpstream keeps the remaining time with the time at which the entry was received, since its age counts. An absent field is told from 0: only 0 says that the upstream is warm.

Nothing reads the new fields yet.

--- a/core/src/main/java/org/citrontide/core/routes/ListedUpstream.java
+++ b/core/src/main/java/org/citrontide/core/routes/ListedUpstream.java
@@ -1,6 +1,8 @@
 package org.citrontide.core.routes;
 
+import java.time.Duration;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * An entry of the platform's upstream list. Immutable.
@@ -13,6 +15,8 @@
  * @param slots requests that it processes concurrently
  * @param isDraining whether it is draining and accepts no new requests
  * @param startedMillis Unix time of its start in ms, 0 if unknown; an upstream may restart under the same id
+ * @param coldRemaining how long the upstream stays cold as of the entry, 0 if warm, empty if the entry doesn't say
+ * @param receivedNanos monotonic time in ns at which the entry was received, 0 if it is not recorded
  */
 public record ListedUpstream(
         String id,
@@ -22,7 +26,9 @@
         String zone,
         int slots,
         boolean isDraining,
-        long startedMillis) {
+        long startedMillis,
+        Optional<Duration> coldRemaining,
+        long receivedNanos) {
 
     /**
      * Validates the entry.
@@ -41,6 +47,30 @@
         }
     }
 
+    /**
+     * Creates an entry that doesn't say whether the upstream is cold.
+     *
+     * @param id identity of the upstream
+     * @param service name of its service
+     * @param host IP address
+     * @param port TCP port
+     * @param zone availability zone
+     * @param slots requests that it processes concurrently
+     * @param isDraining whether it is draining and accepts no new requests
+     * @param startedMillis Unix time of its start in ms, 0 if unknown
+     */
+    public ListedUpstream(
+            String id,
+            String service,
+            String host,
+            int port,
+            String zone,
+            int slots,
+            boolean isDraining,
+            long startedMillis) {
+        this(id, service, host, port, zone, slots, isDraining, startedMillis, Optional.empty(), 0);
+    }
+
     /**
      * Returns a key that no other instance has: not the upstream after a restart, nor a later one at its address.
      *
--- a/core/src/main/java/org/citrontide/core/routes/RoutingTable.java
+++ b/core/src/main/java/org/citrontide/core/routes/RoutingTable.java
@@ -108,6 +108,17 @@
         return services;
     }
 
+    /**
+     * Returns the rate limits of cold upstreams.
+     *
+     * @return rule by service, without the services that have none
+     */
+    public Map<String, ColdRule> coldRules() {
+        Map<String, ColdRule> rules = new HashMap<>();
+        services.forEach((name, s) -> s.coldRule().ifPresent(r -> rules.put(name, r)));
+        return rules;
+    }
+
     /**
      * Returns the shortest target gap between events among the routes of a service.
      *
--- a/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
@@ -341,7 +341,7 @@
 
     private Optional<ListedUpstream> decode(Item i) {
         try {
-            return Optional.of(UpstreamDecoder.decode(i.key(), i.value()));
+            return Optional.of(UpstreamDecoder.decode(i.key(), i.value(), System.nanoTime()));
         } catch (DecodeException e) {
             if (loggedOnce.add(i.key())) {
                 LOG.warn("upstream-entry-unusable")
