Limit what cold upstreams get from all gateways together

An upstream that has just started sustains cold_per_s requests per second and crashes well above that. Each gateway counted only its own requests, so three restarted upstreams of three got 33 in a second at 32 allowed, crashed and crashed again.

core.warmup decides which upstreams are cold (entry, response, start, appearance, returned zone; the newest holds) and divides their rate among the gateways by turns. UpstreamPlacement leaves out a cold upstream without a turn. A request that no upstream takes waits for its turn or is refused at once with the time of one; repeated attempts wait too.

SendSlots was not reused as it is: gateways that don't know each other all have index 0 in it, and a turn lasts for its slot only, which a tick of 50 ms misses at 100 requests per second.

--- a/core/src/main/java/org/citrontide/core/gateway/AdmissionQueue.java
+++ b/core/src/main/java/org/citrontide/core/gateway/AdmissionQueue.java
@@ -40,10 +40,12 @@
     // Limits the bodies of waiting requests to a few megabytes of memory.
     private static final int MAX_WAITING = 256;
 
-    private final TreeSet<OpenGatewayRequest> waiting =
-            new TreeSet<>(Comparator.<OpenGatewayRequest>comparingInt(open -> open.request.rank())
-                    .thenComparingLong(open -> -open.request.arrivedNanos())
-                    .thenComparingLong(open -> open.request.id()));
+    private final TreeSet<OpenGatewayRequest> waiting = new TreeSet<>(Comparator.<OpenGatewayRequest>comparingInt(
+                    open -> open.request.rank())
+            // Turns at cold upstreams are known beforehand: in order of arrival, all that wait get one in time.
+            .thenComparing(open -> !open.isHeldBack)
+            .thenComparingLong(open -> open.isHeldBack ? open.request.arrivedNanos() : -open.request.arrivedNanos())
+            .thenComparingLong(open -> open.request.id()));
     private boolean isDown;
     private long downSinceNanos;
     private long lastRejectionNanos;
@@ -82,6 +84,16 @@
         blockedUntilNanos = OptionalLong.of(nanos);
     }
 
+    /** Ends the wait for rate limits, because an upstream may accept requests now. */
+    void unblock() {
+        blockedUntilNanos = OptionalLong.empty();
+    }
+
+    /** Returns whether the caller of a request is certain to wait until a time. */
+    boolean canWaitUntil(OpenGatewayRequest open, long nanos) {
+        return nanos < waitEndNanos(open.request);
+    }
+
     /** Returns why a request that can't wait, or has waited too long, is refused. */
     Reason waitReason(long nowNanos) {
         return isBlocked(nowNanos) ? Reason.OVERLOADED : Reason.NO_UPSTREAM;
@@ -91,6 +103,12 @@
         return waiting.size();
     }
 
+    /** Returns the number of waiting requests that are sent before a new one of the given rank. */
+    int sizeAhead(int rank) {
+        return (int)
+                waiting.stream().filter(open -> open.request.rank() <= rank).count();
+    }
+
     /** Returns whether a request may be sent immediately; while the group is down, this uses up the next probe. */
     boolean tryAdmit(GatewayRequest request, long nowNanos) {
         if (isDown) {
--- a/core/src/main/java/org/citrontide/core/gateway/DispatchHandler.java
+++ b/core/src/main/java/org/citrontide/core/gateway/DispatchHandler.java
@@ -6,9 +6,11 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 
+import org.citrontide.core.routes.ListedUpstream;
 import org.citrontide.core.routes.Route;
 import org.citrontide.core.verdict.Reason;
 import org.citrontide.core.verdict.Verdict;
+import org.citrontide.core.warmup.ColdChange;
 
 /**
  * Handles one event of a {@link GatewayDispatcher} and collects the resulting actions.
@@ -46,7 +48,7 @@
         }
         if (queue(open).tryAdmit(request, nowNanos)) {
             send(open, Reason.NO_UPSTREAM);
-        } else {
+        } else if (queue(open).isDown() || !recordHeldBack(open) || !tryRefuseLateTurn(open)) {
             waitOrFail(open);
         }
     }
@@ -61,19 +63,73 @@
     /** Queues a request that only rate limits keep from all upstreams, and fails any other. */
     private void waitForRateLimit(OpenGatewayRequest open, Reason noUpstreamReason) {
         OptionalLong openNanos = state.placement.nextOpenNanos(open, nowNanos);
+        boolean isHeldBack = recordHeldBack(open);
         if (open.attemptCount > 0 || openNanos.isEmpty()) {
             fail(open, noUpstreamReason);
             return;
         }
+        if (isHeldBack && tryRefuseHeldBack(open, openNanos.getAsLong())) {
+            return;
+        }
         queue(open).blockUntil(openNanos.getAsLong());
         waitOrFail(open);
     }
 
+    /** Returns whether cold upstreams alone keep a request from being sent, and reports the first time that they do. */
+    private boolean recordHeldBack(OpenGatewayRequest open) {
+        boolean isHeldBack = state.placement.isHeldBack(open, nowNanos);
+        if (isHeldBack && !open.isHeldBack) {
+            open.isHeldBack = true;
+            actions.add(new GatewayAction.ReportHeldBack(open.request));
+        }
+        return isHeldBack;
+    }
+
+    private boolean tryRefuseLateTurn(OpenGatewayRequest open) {
+        OptionalLong openNanos = state.placement.nextOpenNanos(open, nowNanos);
+        return openNanos.isPresent() && tryRefuseHeldBack(open, openNanos.getAsLong());
+    }
+
+    /** Queues a request whose next attempt waits for a turn at a cold upstream; returns false if it can't wait. */
+    private boolean tryWaitForTurn(OpenGatewayRequest open) {
+        if (open.attemptCount >= open.request.route().maxAttempts()
+                || !recordHeldBack(open)
+                || state.placement.select(open, nowNanos).isPresent()) {
+            return false;
+        }
+        OptionalLong openNanos = state.placement.nextOpenNanos(open, nowNanos);
+        if (openNanos.isEmpty() || state.services.of(open).isWaitFutile(open, nowNanos)) {
+            return false;
+        }
+        queue(open).blockUntil(openNanos.getAsLong());
+        return queue(open).tryEnqueue(open, nowNanos);
+    }
+
+    /** Refuses a request whose turn at a cold upstream comes too late; returns whether it does. */
+    private boolean tryRefuseHeldBack(OpenGatewayRequest open, long openNanos) {
+        int ahead = queue(open).sizeAhead(open.request.rank());
+        long turnNanos = openNanos + state.placement.queueDelayNanos(open, ahead, nowNanos);
+        if (queue(open).canWaitUntil(open, turnNanos)) {
+            return false;
+        }
+        Duration retryAfter = state.retryAfterPolicy.retryAfter(turnNanos, open.request, nowNanos);
+        end(open, new Verdict.NotRun(Reason.OVERLOADED, retryAfter));
+        return true;
+    }
+
+    void handleUpstreams(List<ListedUpstream> upstreams) {
+        state.registry.replaceAll(upstreams, nowNanos);
+        state.coldUpstreams.updateEntries(upstreams, nowNanos);
+        if (state.coldUpstreams.hasRules()) {
+            state.services.all().forEach(s -> s.queue.unblock());
+        }
+    }
+
     private void sendWaiting(AdmissionQueue queue) {
         for (OpenGatewayRequest open : queue.pollSendable(nowNanos)) {
             if (open.attemptCount == 0 || tryRetry(open, Reason.NO_UPSTREAM)) {
                 send(open, Reason.NO_UPSTREAM);
-            } else {
+            } else if (!tryWaitForTurn(open)) {
                 fail(open, Reason.NO_UPSTREAM);
             }
         }
@@ -315,7 +371,7 @@
     private void retryOrFail(OpenGatewayRequest open, Reason reason) {
         if (tryRetry(open, reason)) {
             send(open, reason);
-        } else {
+        } else if (!tryWaitForTurn(open)) {
             fail(open, reason);
         }
     }
@@ -365,6 +421,11 @@
                 retryElsewhere(open);
             }
         }
+        List<ColdChange> coldChanges = state.coldUpstreams.pollChanges(nowNanos);
+        if (!coldChanges.isEmpty()) {
+            coldChanges.forEach(change -> actions.add(new GatewayAction.ReportCold(change)));
+            state.services.all().forEach(s -> s.queue.unblock());
+        }
         state.services.all().forEach(s -> tick(s.queue));
         actions.addAll(state.groupHealth.tick(state.registry, nowNanos));
         state.crashGuard.tick(nowNanos, actions);
--- a/core/src/main/java/org/citrontide/core/gateway/DispatchState.java
+++ b/core/src/main/java/org/citrontide/core/gateway/DispatchState.java
@@ -7,10 +7,14 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
+import org.citrontide.core.warmup.ColdSettings;
+import org.citrontide.core.warmup.ColdUpstreams;
+
 /** What a {@link GatewayDispatcher} keeps between events. Not thread-safe: confined to the dispatcher's thread. */
 final class DispatchState {
     final UpstreamRegistry registry = new UpstreamRegistry();
     final GroupHealth groupHealth = new GroupHealth();
+    final ColdUpstreams coldUpstreams;
     final UpstreamPlacement placement;
     final RetryAfterPolicy retryAfterPolicy;
     final ServiceStates services;
@@ -22,8 +26,14 @@
             Comparator.comparingLong(GatewayRequest::deadlineNanos).thenComparingLong(GatewayRequest::id));
     long nextAttemptNumber = 1;
 
-    DispatchState(String zone, Supplier<GatewayRetryBudget> retryBudgetFactory, RandomGenerator random) {
-        this.placement = new UpstreamPlacement(registry, groupHealth, new UpstreamSelector(zone, random));
+    DispatchState(
+            String zone,
+            Supplier<GatewayRetryBudget> retryBudgetFactory,
+            RandomGenerator random,
+            ColdSettings coldSettings) {
+        this.coldUpstreams = new ColdUpstreams(coldSettings, random);
+        this.placement =
+                new UpstreamPlacement(registry, groupHealth, new UpstreamSelector(zone, random), coldUpstreams);
         this.retryAfterPolicy = new RetryAfterPolicy(random);
         this.services = new ServiceStates(retryBudgetFactory);
     }
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayAction.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayAction.java
@@ -10,6 +10,7 @@
 import org.citrontide.core.routes.ListedUpstream;
 import org.citrontide.core.verdict.Reason;
 import org.citrontide.core.verdict.Verdict;
+import org.citrontide.core.warmup.ColdChange;
 
 /** An action that a {@link GatewayDispatcher} requests from its shell. Immutable. */
 public sealed interface GatewayAction {
@@ -121,6 +122,20 @@
      */
     record ReportRateLimit(ListedUpstream upstream, OptionalDouble perSecond) implements GatewayAction {}
 
+    /**
+     * Reports that an upstream became cold, began to warm up, or became warm.
+     *
+     * @param change the change
+     */
+    record ReportCold(ColdChange change) implements GatewayAction {}
+
+    /**
+     * Reports that the limits of cold upstreams keep a request from being sent now. Occurs at most once for a request.
+     *
+     * @param request the request
+     */
+    record ReportHeldBack(GatewayRequest request) implements GatewayAction {}
+
     /**
      * Checks whether an upstream crashed, by opening a connection to it. The result is an event.
      *
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
@@ -7,6 +7,7 @@
 import java.util.random.RandomGenerator;
 
 import org.citrontide.core.verdict.Verdict;
+import org.citrontide.core.warmup.ColdSettings;
 
 /**
  * Dispatches the requests of one gateway to upstreams and decides the final outcome of each.
@@ -37,7 +38,23 @@
      * @param random source of randomness for upstream selection and for the jitter of retry delays
      */
     public GatewayDispatcher(String zone, Supplier<GatewayRetryBudget> retryBudgetFactory, RandomGenerator random) {
-        this.state = new DispatchState(zone, retryBudgetFactory, random);
+        this(zone, retryBudgetFactory, random, ColdSettings.STRICT);
+    }
+
+    /**
+     * Creates a dispatcher without upstreams.
+     *
+     * @param zone the gateway's availability zone
+     * @param retryBudgetFactory factory of the retry budget of each service
+     * @param random source of randomness for upstream selection and for the jitter of retry delays
+     * @param coldSettings excess that is allowed over the rates of cold upstreams
+     */
+    public GatewayDispatcher(
+            String zone,
+            Supplier<GatewayRetryBudget> retryBudgetFactory,
+            RandomGenerator random,
+            ColdSettings coldSettings) {
+        this.state = new DispatchState(zone, retryBudgetFactory, random, coldSettings);
     }
 
     /**
@@ -58,11 +75,16 @@
                 Optional.ofNullable(state.byAttempt.get(p.attempt()))
                         .ifPresent(open -> open.attempt.orElseThrow().setPaused(p.isPaused(), nowNanos));
             case GatewayEvent.AttemptEnded e -> handler.handleAttemptEnded(e);
-            case GatewayEvent.UpstreamsUpdated u -> state.registry.replaceAll(u.upstreams(), nowNanos);
+            case GatewayEvent.UpstreamsUpdated u -> handler.handleUpstreams(u.upstreams());
             case GatewayEvent.ReportReceived r ->
                 state.registry.find(r.upstream()).ifPresent(u -> handler.handleReport(u, r));
             case GatewayEvent.GroupsUpdated g -> state.groupHealth.setGroups(g.groupByUpstream());
             case GatewayEvent.HeadReceived h -> handler.handleHeadReceived(h);
+            case GatewayEvent.ColdReported c ->
+                state.coldUpstreams.recordResponse(c.upstream(), c.remaining(), nowNanos);
+            case GatewayEvent.ColdRulesUpdated u -> state.coldUpstreams.setRules(u.byService(), nowNanos);
+            case GatewayEvent.TurnsUpdated u -> state.coldUpstreams.setOrder(u.order(), nowNanos);
+            case GatewayEvent.ZonesReturned z -> state.coldUpstreams.recordReturn(z.zones(), nowNanos);
             case GatewayEvent.SlotsUpdated u -> state.placement.setSlots(u.slots());
             case GatewayEvent.UpstreamChecked c -> handler.handleUpstreamChecked(c);
             case GatewayEvent.CrashEvidenceUpdated c -> handler.handleCrashEvidence(c);
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayEvent.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayEvent.java
@@ -1,11 +1,15 @@
 package org.citrontide.core.gateway;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.Set;
 
 import org.citrontide.core.quarantine.CrashEvidence;
+import org.citrontide.core.routes.ColdRule;
 import org.citrontide.core.routes.ListedUpstream;
+import org.citrontide.core.warmup.TurnOrder;
 
 /** An event that a {@link GatewayDispatcher} handles. Immutable. */
 public sealed interface GatewayEvent {
@@ -40,6 +44,47 @@
      */
     record HeadReceived(long attempt, OptionalDouble limitPerSecond) implements GatewayEvent {}
 
+    /**
+     * A response said how long its upstream stays cold.
+     *
+     * @param upstream the upstream
+     * @param remaining time for which it stays cold, 0 if it is warm
+     */
+    record ColdReported(ListedUpstream upstream, Duration remaining) implements GatewayEvent {}
+
+    /**
+     * The rate limits of cold upstreams changed.
+     *
+     * @param byService rule by service, without the services that have none
+     */
+    record ColdRulesUpdated(Map<String, ColdRule> byService) implements GatewayEvent {
+
+        /** Copies the map. */
+        public ColdRulesUpdated {
+            byService = Map.copyOf(byService);
+        }
+    }
+
+    /**
+     * The order changed in which the gateways take turns at cold upstreams.
+     *
+     * @param order the order
+     */
+    record TurnsUpdated(TurnOrder order) implements GatewayEvent {}
+
+    /**
+     * Zones were put back into service, and their upstreams are cold.
+     *
+     * @param zones names of the zones
+     */
+    record ZonesReturned(Set<String> zones) implements GatewayEvent {
+
+        /** Copies the set. */
+        public ZonesReturned {
+            zones = Set.copyOf(zones);
+        }
+    }
+
     /**
      * The times at which this gateway may send to upstreams with a rate limit changed.
      *
--- a/core/src/main/java/org/citrontide/core/gateway/OpenGatewayRequest.java
+++ b/core/src/main/java/org/citrontide/core/gateway/OpenGatewayRequest.java
@@ -67,6 +67,9 @@
     /** Whether it was reported that the budget denied a retry. */
     boolean isDenialReported;
 
+    /** Whether the limits of cold upstreams hold, or held, the request back; doesn't change while it is queued. */
+    boolean isHeldBack;
+
     /** Reason why an earlier attempt may have run, empty if none may have. */
     Optional<Reason> mayHaveRunReason = Optional.empty();
 
--- a/core/src/main/java/org/citrontide/core/gateway/RetryAfterPolicy.java
+++ b/core/src/main/java/org/citrontide/core/gateway/RetryAfterPolicy.java
@@ -45,4 +45,19 @@
         long nanos = (long) (factor * Math.min(mean, remaining * MAX_FRACTION));
         return Duration.ofNanos(nanos);
     }
+
+    /**
+     * Returns the delay after which a caller should retry if it is known when capacity is available.
+     *
+     * @param capacityNanos monotonic time in ns at which capacity is available
+     * @param request the refused request
+     * @param nowNanos monotonic time in ns
+     * @return delay from now, not shorter than until the capacity unless the caller doesn't wait for that long
+     */
+    public Duration retryAfter(long capacityNanos, GatewayRequest request, long nowNanos) {
+        double remaining = Math.max(0, request.deadlineNanos() - nowNanos);
+        double delay = Math.max(0, capacityNanos - nowNanos)
+                + OVERLOAD_JITTER * OVERLOAD_DELAY.toNanos() * random.nextDouble();
+        return Duration.ofNanos((long) Math.min(delay, remaining * MAX_FRACTION));
+    }
 }
--- a/core/src/main/java/org/citrontide/core/gateway/UpstreamPlacement.java
+++ b/core/src/main/java/org/citrontide/core/gateway/UpstreamPlacement.java
@@ -1,9 +1,12 @@
 package org.citrontide.core.gateway;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
+import org.citrontide.core.warmup.ColdUpstreams;
+
 /**
  * Places requests: narrows the upstreams of a service down to those that a request may be sent to, and selects one.
  *
@@ -11,36 +14,80 @@
  * them. Not thread-safe: confined to the dispatcher's thread.
  */
 final class UpstreamPlacement {
+    private static final double NANOS_PER_SECOND = Duration.ofSeconds(1).toNanos();
+
     private final UpstreamRegistry registry;
     private final GroupHealth groupHealth;
     private final UpstreamSelector selector;
+    private final ColdUpstreams coldUpstreams;
 
-    UpstreamPlacement(UpstreamRegistry registry, GroupHealth groupHealth, UpstreamSelector selector) {
+    UpstreamPlacement(
+            UpstreamRegistry registry,
+            GroupHealth groupHealth,
+            UpstreamSelector selector,
+            ColdUpstreams coldUpstreams) {
         this.registry = registry;
         this.groupHealth = groupHealth;
         this.selector = selector;
+        this.coldUpstreams = coldUpstreams;
     }
 
     /** Selects the upstream of the next attempt, or none if no upstream accepts the request now. */
     Optional<UpstreamState> select(OpenGatewayRequest open, long nowNanos) {
-        List<UpstreamState> available = groupHealth.selectable(eligible(open), nowNanos);
+        List<UpstreamState> available = withTurn(open, groupHealth.selectable(eligible(open), nowNanos), nowNanos);
         return selector.select(available, open.triedIds, nowNanos);
     }
 
     /** Returns when an upstream accepts the request, if only rate limits keep it from all of them. */
     OptionalLong nextOpenNanos(OpenGatewayRequest open, long nowNanos) {
-        return selector.nextOpenNanos(eligible(open), open.triedIds, nowNanos);
+        if (!isHeldBack(open, nowNanos)) {
+            return selector.nextOpenNanos(eligible(open), open.triedIds, nowNanos);
+        }
+        return eligible(open).stream()
+                .filter(u -> !u.entry().isDraining())
+                .mapToLong(u -> Math.max(
+                        u.nextOpenNanos(selector.slots(), nowNanos), coldUpstreams.nextOpenNanos(u.entry(), nowNanos)))
+                .min();
+    }
+
+    /** Returns whether an upstream would accept the request if it were not cold. */
+    boolean isHeldBack(OpenGatewayRequest open, long nowNanos) {
+        return coldUpstreams.hasRule(open.request.service())
+                && eligible(open).stream()
+                        .anyMatch(u -> u.isAccepting(nowNanos)
+                                && !open.triedIds.contains(u.entry().id())
+                                && coldUpstreams.nextOpenNanos(u.entry(), nowNanos) > nowNanos);
+    }
+
+    /** Returns for how long the requests that already wait take up the turns of this gateway at cold upstreams. */
+    long queueDelayNanos(OpenGatewayRequest open, int waiting, long nowNanos) {
+        double perSecond = eligible(open).stream()
+                .filter(u -> u.isAccepting(nowNanos))
+                .mapToDouble(u -> coldUpstreams.ratePerSecond(u.entry(), nowNanos))
+                .sum();
+        return (long) (waiting / perSecond * NANOS_PER_SECOND);
     }
 
     /** Records that an attempt is sent to an upstream. */
     void recordSent(UpstreamState upstream, long nowNanos) {
         upstream.recordAttemptSent(selector.slots(), nowNanos);
+        coldUpstreams.recordSent(upstream.entry(), nowNanos);
     }
 
     void setSlots(SendSlots slots) {
         selector.setSlots(slots);
     }
 
+    /** Returns the upstreams without those whose cold status keeps a request from them now. */
+    private List<UpstreamState> withTurn(OpenGatewayRequest open, List<UpstreamState> upstreams, long nowNanos) {
+        if (!coldUpstreams.hasRule(open.request.service())) {
+            return upstreams;
+        }
+        return upstreams.stream()
+                .filter(u -> coldUpstreams.nextOpenNanos(u.entry(), nowNanos) <= nowNanos)
+                .toList();
+    }
+
     /** Returns the upstreams that the request may be sent to, whether or not they accept it now. */
     private List<UpstreamState> eligible(OpenGatewayRequest open) {
         return registry.ofService(open.request.service());
--- a/core/src/test/java/org/citrontide/core/gateway/CrashingPromptSimulation.java
+++ b/core/src/test/java/org/citrontide/core/gateway/CrashingPromptSimulation.java
@@ -276,6 +276,8 @@
                 case GatewayAction.ReportQuarantine q -> {
                     // Affects only the log.
                 }
+                case GatewayAction.ReportCold c -> throw new AssertionError("no service has a rule");
+                case GatewayAction.ReportHeldBack h -> throw new AssertionError("no service has a rule");
             }
         }
     }
--- a/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherFaultTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherFaultTest.java
@@ -240,6 +240,8 @@
                     case GatewayAction.ReportQuarantine q -> {
                         // Affects only the log.
                     }
+                    case GatewayAction.ReportCold c -> throw new AssertionError("no service has a rule");
+                    case GatewayAction.ReportHeldBack h -> throw new AssertionError("no service has a rule");
                 }
             }
         }
--- a/core/src/test/java/org/citrontide/core/gateway/GroupOutageSimulation.java
+++ b/core/src/test/java/org/citrontide/core/gateway/GroupOutageSimulation.java
@@ -244,6 +244,8 @@
                     // Affects only the log.
                 }
                 case GatewayAction.ReportQuarantine c -> throw new AssertionError("no part is suspected");
+                case GatewayAction.ReportCold c -> throw new AssertionError("no service has a rule");
+                case GatewayAction.ReportHeldBack h -> throw new AssertionError("no service has a rule");
                 case GatewayAction.CancelAttempt c -> liveAttempts.get(g).remove(c.attempt());
             }
         }
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
@@ -14,6 +14,7 @@
 import org.citrontide.core.lease.CandidacyDelay;
 import org.citrontide.core.routes.ListedUpstream;
 import org.citrontide.core.routes.RoutingTable;
+import org.citrontide.core.warmup.TurnOrder;
 import org.citrontide.gateway.dispatch.GatewayShell;
 import org.citrontide.gateway.maps.MapControllerShell;
 import org.citrontide.gateway.store.CrashEvidenceStore;
@@ -48,6 +49,8 @@
     private final CrashEvidenceStore crashEvidence;
     private final GroupStore groups;
     private final GatewayRoster roster;
+    private final long startNanos = System.nanoTime();
+    private final int knownPeers;
     private List<String> registeredVms = List.of();
     private long rosterUpdateNanos;
     private boolean isLeader;
@@ -63,6 +66,7 @@
             RetrySlackShare slackShare) {
         this.slackShare = slackShare;
         this.roster = new GatewayRoster(settings.vm());
+        this.knownPeers = settings.peers().size();
         this.loop = loop;
         this.shell = shell;
         PlatformClient client = PlatformClient.forStore(loop);
@@ -184,6 +188,8 @@
         slackShare.setGatewayCount(roster.count());
         long unixEpochNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis());
         shell.setSendSlots(new SendSlots(roster.index(), roster.count(), unixEpochNanos));
+        Duration uptime = Duration.ofNanos(nowNanos - startNanos);
+        shell.setTurnOrder(TurnOrder.of(roster.index(), roster.count(), knownPeers + 1, unixEpochNanos, uptime));
     }
 
     private void resignIfPossible() {
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
@@ -84,7 +84,8 @@
         GatewayDispatcher dispatcher = new GatewayDispatcher(
                 settings.zone(),
                 () -> new GatewayRetryBudget(settings.retryRatio(), settings.retryWindow(), slackShare, startNanos),
-                random.split());
+                random.split(),
+                settings.cold());
         return new GatewayShell(
                 dispatcher,
                 eventLoops.next(),
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayMetrics.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayMetrics.java
@@ -36,6 +36,7 @@
     private final Gauge versionGauge;
     private final Gauge responseBytesGauge;
     private final SendMonitor sendMonitor;
+    private final ColdReports coldReports;
 
     /**
      * Registers the metrics.
@@ -68,6 +69,11 @@
         responseBytesGauge =
                 gauge(registry, "citrontide_gateway_response_bytes", "Memory for incomplete responses in bytes");
         sendMonitor = new SendMonitor(registry);
+        coldReports = new ColdReports(registry);
+    }
+
+    ColdReports coldReports() {
+        return coldReports;
     }
 
     SendMonitor sendMonitor() {
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
@@ -24,6 +25,7 @@
 import org.citrontide.core.routes.RoutingTable;
 import org.citrontide.core.verdict.Reason;
 import org.citrontide.core.verdict.Verdict;
+import org.citrontide.core.warmup.TurnOrder;
 import org.citrontide.gateway.caller.CallerListener;
 import org.citrontide.gateway.caller.CallerRequest;
 import org.citrontide.gateway.filter.RequestHead;
@@ -56,6 +58,7 @@
     private final UpstreamChecker checker;
     private final GatewayRequestFactory requestFactory;
     private final GatewayMetrics metrics;
+    private final ColdReports coldReports;
     private final RequestLog log = new RequestLog();
     private final Map<Long, OpenExchange> openById = new HashMap<>();
     private final Map<Long, OpenExchange> openByAttempt = new HashMap<>();
@@ -89,6 +92,7 @@
         this.checker = new UpstreamChecker(loop);
         this.requestFactory = new GatewayRequestFactory(random);
         this.metrics = metrics;
+        this.coldReports = metrics.coldReports();
         Runnable tick = new GuardedTask("dispatch-tick", this::tick);
         loop.scheduleAtFixedRate(tick, TICK.toMillis(), TICK.toMillis(), TimeUnit.MILLISECONDS);
         metrics.scheduleRetryBudgets(loop, () -> dispatcher.retryBudgets(System.nanoTime()));
@@ -129,6 +133,7 @@
      */
     public void setRoutingTable(RoutingTable newTable) {
         table = newTable;
+        handle(new GatewayEvent.ColdRulesUpdated(newTable.coldRules()));
     }
 
     /**
@@ -159,6 +164,24 @@
         handle(new GatewayEvent.SlotsUpdated(slots));
     }
 
+    /**
+     * Sets the order in which the gateways take turns at cold upstreams.
+     *
+     * @param order the order
+     */
+    public void setTurnOrder(TurnOrder order) {
+        handle(new GatewayEvent.TurnsUpdated(order));
+    }
+
+    /**
+     * Records that zones were put back into service; their upstreams are cold.
+     *
+     * @param zones names of the zones
+     */
+    public void recordZonesReturned(Set<String> zones) {
+        handle(new GatewayEvent.ZonesReturned(zones));
+    }
+
     /**
      * Sets where crashes of upstreams are reported.
      *
@@ -213,6 +236,7 @@
     @Override
     public void headReceived(UpstreamAttempt attempt) {
         ResponseHead head = attempt.head().orElseThrow();
+        head.coldRemaining().ifPresent(r -> handle(new GatewayEvent.ColdReported(attempt.upstream(), r)));
         if (head.hasMalformedRateLimit()) {
             log.logMalformedRateLimit(attempt.upstream(), head.headers().get(PlatformHeaders.RATE_LIMIT));
             return;
@@ -235,7 +259,7 @@
         }
     }
 
-    /** Sends complete events to the caller, and reports the progress of the attempt. */
+    /** Sends complete events to the caller, and coldReports the progress of the attempt. */
     private void forwardEvents(OpenExchange exchange, UpstreamAttempt attempt, byte[] events) {
         if (events.length == 0 && exchange.eventMerger.isBroken()) {
             return;
@@ -321,6 +345,9 @@
                 case GatewayAction.ReportGroupState n -> log.logGroupState(n);
                 case GatewayAction.ReportGroupAvailability a -> log.logGroupAvailability(a);
                 case GatewayAction.ReportRateLimit l -> log.logRateLimit(l);
+                case GatewayAction.ReportCold c -> coldReports.reportCold(c.change());
+                case GatewayAction.ReportHeldBack h ->
+                    coldReports.reportHeldBack(h.request().service());
                 case GatewayAction.CheckUpstream c ->
                     checker.check(
                             c.upstream(), refused -> handle(new GatewayEvent.UpstreamChecked(c.upstream(), refused)));
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/ResponseHead.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/ResponseHead.java
@@ -1,5 +1,7 @@
 package org.citrontide.gateway.upstream;
 
+import java.time.Duration;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.regex.Pattern;
 
@@ -29,6 +31,18 @@
                 : OptionalDouble.empty();
     }
 
+    /**
+     * Returns how long the upstream says that it stays cold.
+     *
+     * @return the time, 0 if it is warm, empty if the field is missing or malformed
+     */
+    public Optional<Duration> coldRemaining() {
+        String value = headers.get(PlatformHeaders.COLD_MS);
+        return value != null && DECIMAL.matcher(value.trim()).matches()
+                ? Optional.of(Duration.ofMillis((long) Math.ceil(Double.parseDouble(value.trim()))))
+                : Optional.empty();
+    }
+
     /**
      * Returns whether the response names a rate limit that can't be read.
      *
--- a/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
@@ -10,6 +10,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 
+import org.citrontide.core.warmup.ColdSettings;
 import org.citrontide.fakes.net.TestPorts;
 import org.citrontide.fakes.platform.FakeHttpUpstream;
 import org.citrontide.fakes.platform.FakeHttpUpstream.Script;
@@ -23,6 +24,7 @@
 
 /** Base class of tests that run a gateway in the process of the test, with a fake platform store and fake upstreams. */
 abstract class GatewayHarness {
+    static final ColdSettings COLD_SETTINGS = new ColdSettings(1.5, 5);
     static final int RESPONSE_MEMORY_BYTES = 16 * 1024 * 1024;
 
     private static final Duration RETRY_WINDOW = Duration.ofSeconds(10);
@@ -90,7 +92,8 @@
                         RETRY_WINDOW,
                         600,
                         10,
-                        RESPONSE_MEMORY_BYTES),
+                        RESPONSE_MEMORY_BYTES,
+                        COLD_SETTINGS),
                 1,
                 // A process allows no retry in its first window.
                 System.nanoTime() - RETRY_WINDOW.toNanos());
--- a/gateway/src/test/java/org/citrontide/gateway/daemon/GatewaySettingsTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/daemon/GatewaySettingsTest.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 
+import org.citrontide.core.warmup.ColdSettings;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -34,6 +35,24 @@
                 .isEmpty());
     }
 
+    // Guards against a deployment without the bounds that gets an excess which it doesn't allow.
+    @Test
+    void theExcessOverTheRatesOfColdUpstreamsIsReadWhereItIsGiven() {
+        assertEquals(new ColdSettings(1.5, 5), cold("cold_overage = 1.5\ncold_slack = 5\n"));
+        assertEquals(new ColdSettings(2, 0), cold("cold_overage = 2\n"));
+        assertEquals(ColdSettings.STRICT, cold(""));
+        assertTrue(GatewaySettings.parse("f", REQUIRED + "cold_slack = -1\n")
+                .value()
+                .isEmpty());
+    }
+
+    private static ColdSettings cold(String lines) {
+        return GatewaySettings.parse("f", REQUIRED + lines)
+                .value()
+                .orElseThrow()
+                .cold();
+    }
+
     private static Duration stopLimit(String lines) {
         return GatewaySettings.parse("f", REQUIRED + lines)
                 .value()
--- a/gateway/src/test/java/org/citrontide/gateway/upstream/ResponseHeadTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/upstream/ResponseHeadTest.java
@@ -1,5 +1,7 @@
 package org.citrontide.gateway.upstream;
 
+import java.time.Duration;
+import java.util.Optional;
 import java.util.OptionalDouble;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -37,6 +39,24 @@
         assertFalse(head.hasMalformedRateLimit());
     }
 
+    @ParameterizedTest
+    @CsvSource({"0, 0", "1, 1", "2.5, 3", "3000, 3000", "999999999, 999999999"})
+    void readsTheTimeForWhichAnUpstreamStaysCold(String value, long millis) {
+        assertEquals(
+                Optional.of(Duration.ofMillis(millis)), headWithColdTime(value).coldRemaining());
+    }
+
+    // Guards against an upstream that is taken for a warm one because its field can't be read.
+    @ParameterizedTest
+    @ValueSource(strings = {"", "-1", "cold", "1,6", "NaN", "1e3"})
+    void aMalformedColdTimeSaysNothing(String value) {
+        assertEquals(Optional.empty(), headWithColdTime(value).coldRemaining());
+    }
+
+    private static ResponseHead headWithColdTime(String value) {
+        return new ResponseHead(200, new DefaultHttpHeaders().set("Citrontide-Cold-Ms", value));
+    }
+
     private static ResponseHead headWithLimit(String value) {
         return new ResponseHead(200, new DefaultHttpHeaders().set("Server-Limit", value));
     }
