--- a/core/src/main/java/org/citrontide/core/gateway/DispatchState.java
+++ b/core/src/main/java/org/citrontide/core/gateway/DispatchState.java
@@ -8,11 +8,14 @@
 import java.util.random.RandomGenerator;
 
 import org.citrontide.core.locality.LocalityPolicy;
+import org.citrontide.core.warmup.ColdSettings;
+import org.citrontide.core.warmup.ColdUpstreams;
 
 /** What a {@link GatewayDispatcher} keeps between events. Not thread-safe: confined to the dispatcher's thread. */
 final class DispatchState {
     final UpstreamRegistry registry = new UpstreamRegistry();
     final GroupHealth groupHealth = new GroupHealth();
+    final ColdUpstreams coldUpstreams;
     final UpstreamPlacement placement;
     final RetryAfterPolicy retryAfterPolicy;
     final ServiceStates services;
@@ -28,8 +31,11 @@
             String zone,
             LocalityPolicy locality,
             Supplier<GatewayRetryBudget> retryBudgetFactory,
-            RandomGenerator random) {
-        this.placement = new UpstreamPlacement(registry, locality, groupHealth, new UpstreamSelector(zone, random));
+            RandomGenerator random,
+            ColdSettings coldSettings) {
+        this.coldUpstreams = new ColdUpstreams(coldSettings, random);
+        this.placement = new UpstreamPlacement(
+                registry, locality, groupHealth, new UpstreamSelector(zone, random), coldUpstreams);
         this.retryAfterPolicy = new RetryAfterPolicy(random);
         this.services = new ServiceStates(retryBudgetFactory);
     }
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
@@ -8,6 +8,7 @@
 
 import org.citrontide.core.locality.LocalityPolicy;
 import org.citrontide.core.verdict.Verdict;
+import org.citrontide.core.warmup.ColdSettings;
 
 /**
  * Dispatches the requests of one gateway to upstreams and decides the final outcome of each.
@@ -39,7 +40,7 @@
      * @param random source of randomness for upstream selection and for the jitter of retry delays
      */
     public GatewayDispatcher(String zone, Supplier<GatewayRetryBudget> retryBudgetFactory, RandomGenerator random) {
-        this(zone, Map.of(), retryBudgetFactory, random);
+        this(zone, Map.of(), retryBudgetFactory, random, ColdSettings.STRICT);
     }
 
     /**
@@ -49,13 +50,16 @@
      * @param regionByZone region of each zone whose region is known
      * @param retryBudgetFactory factory of the retry budget of each service
      * @param random source of randomness for upstream selection and for the jitter of retry delays
+     * @param coldSettings excess that is allowed over the rates of cold upstreams
      */
     public GatewayDispatcher(
             String zone,
             Map<String, String> regionByZone,
             Supplier<GatewayRetryBudget> retryBudgetFactory,
-            RandomGenerator random) {
-        this.state = new DispatchState(zone, new LocalityPolicy(regionByZone), retryBudgetFactory, random);
+            RandomGenerator random,
+            ColdSettings coldSettings) {
+        this.state =
+                new DispatchState(zone, new LocalityPolicy(regionByZone), retryBudgetFactory, random, coldSettings);
     }
 
     /**
@@ -76,18 +80,20 @@
                 Optional.ofNullable(state.byAttempt.get(p.attempt()))
                         .ifPresent(open -> open.attempt.orElseThrow().setPaused(p.isPaused(), nowNanos));
             case GatewayEvent.AttemptEnded e -> handler.handleAttemptEnded(e);
-            case GatewayEvent.UpstreamsUpdated u -> state.registry.replaceAll(u.upstreams(), nowNanos);
+            case GatewayEvent.UpstreamsUpdated u -> handler.handleUpstreams(u.upstreams());
             case GatewayEvent.ReportReceived r ->
                 state.registry.find(r.upstream()).ifPresent(u -> handler.handleReport(u, r));
             case GatewayEvent.GroupsUpdated g -> state.groupHealth.setGroups(g.groupByUpstream());
             case GatewayEvent.HeadReceived h -> handler.handleHeadReceived(h);
+            case GatewayEvent.ColdReported c ->
+                state.coldUpstreams.recordResponse(c.upstream(), c.remaining(), nowNanos);
+            case GatewayEvent.ColdRulesUpdated u -> state.coldUpstreams.setRules(u.byService(), nowNanos);
+            case GatewayEvent.TurnsUpdated u -> state.coldUpstreams.setOrder(u.order(), nowNanos);
+            case GatewayEvent.ZonesReturned z -> state.coldUpstreams.recordReturn(z.zones(), nowNanos);
             case GatewayEvent.SlotsUpdated u -> state.placement.setSlots(u.slots());
             case GatewayEvent.UpstreamChecked c -> handler.handleUpstreamChecked(c);
             case GatewayEvent.CrashEvidenceUpdated c -> handler.handleCrashEvidence(c);
             case GatewayEvent.EvacuatedZonesUpdated e -> handler.handleEvacuatedZones(e.zones());
-            case GatewayEvent.ZonesReturned z -> {
-                // Upstreams that were without requests are not treated differently yet.
-            }
             case GatewayEvent.Tick t -> handler.tick();
         }
         return handler.actions();
--- a/core/src/test/java/org/citrontide/core/gateway/GroupOutageSimulation.java
+++ b/core/src/test/java/org/citrontide/core/gateway/GroupOutageSimulation.java
@@ -245,6 +245,8 @@
                 }
                 case GatewayAction.ReportQuarantine c -> throw new AssertionError("no part is suspected");
                 case GatewayAction.WithdrawAttempt w -> throw new AssertionError("no zone is evacuated");
+                case GatewayAction.ReportCold c -> throw new AssertionError("no service has a rule");
+                case GatewayAction.ReportHeldBack h -> throw new AssertionError("no service has a rule");
                 case GatewayAction.CancelAttempt c -> liveAttempts.get(g).remove(c.attempt());
             }
         }
--- a/core/src/test/java/org/citrontide/core/gateway/LocalityDispatchTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/LocalityDispatchTest.java
@@ -14,6 +14,7 @@
 import org.citrontide.core.routes.Route;
 import org.citrontide.core.verdict.Reason;
 import org.citrontide.core.verdict.Verdict;
+import org.citrontide.core.warmup.ColdSettings;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -36,7 +37,8 @@
             "z1",
             Map.of("z1", "north", "z2", "north", "z3", "south"),
             () -> RetryBudgets.createInService(0.2, 12 * 3),
-            new SplittableRandom(1));
+            new SplittableRandom(1),
+            ColdSettings.STRICT);
     private long nowMs = 1000;
     private long nextId = 1;
 
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
@@ -85,7 +85,8 @@
                 settings.zone(),
                 settings.locality().regionByZone(),
                 () -> new GatewayRetryBudget(settings.retryRatio(), settings.retryWindow(), slackShare, startNanos),
-                random.split());
+                random.split(),
+                settings.cold());
         return new GatewayShell(
                 dispatcher,
                 eventLoops.next(),
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewaySettings.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewaySettings.java
@@ -7,6 +7,7 @@
 
 import org.citrontide.core.toml.TomlSection;
 import org.citrontide.core.toml.ValidationResult;
+import org.citrontide.core.warmup.ColdSettings;
 import org.citrontide.runtime.settings.ProcessSettings;
 
 /**
@@ -29,6 +30,7 @@
  * @param maxTeamLabels maximum number of teams that have their own metric labels
  * @param responseMemoryBytes maximum memory in bytes for incomplete responses of upstreams
  * @param locality regions and evacuations of zones
+ * @param cold excess that is allowed over the rates of cold upstreams
  */
 public record GatewaySettings(
         String vm,
@@ -47,7 +49,8 @@
         int retrySlack,
         int maxTeamLabels,
         long responseMemoryBytes,
-        LocalitySettings locality) {
+        LocalitySettings locality,
+        ColdSettings cold) {
     private static final int MAX_CONNECTIONS = 100_000;
     private static final int DEFAULT_CONNECTIONS = 2000;
     private static final double MIN_LINK_MBPS = 0.1;
@@ -108,6 +111,7 @@
         int labels = root.integer("max_team_labels", 0, MAX_LABELS, DEFAULT_LABELS);
         int responseMemory = root.integer("response_memory_kb", 1, MAX_RESPONSE_MEMORY_KB, defaultResponseMemoryKb());
         LocalitySettings locality = LocalitySettings.read(root);
+        ColdSettings cold = ColdSettingsReader.read(root);
         return root.finish(() -> new GatewaySettings(
                 vm,
                 zone,
@@ -125,7 +129,8 @@
                 slack,
                 labels,
                 (long) responseMemory * BYTES_PER_KB,
-                locality));
+                locality,
+                cold));
     }
 
     /** Reads the time limit of a stop, which ends before the process is killed. */
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayMetrics.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayMetrics.java
@@ -37,6 +37,7 @@
     private final Gauge responseBytesGauge;
     private final Gauge evacuatedZonesGauge;
     private final SendMonitor sendMonitor;
+    private final ColdReports coldReports;
 
     /**
      * Registers the metrics.
@@ -71,6 +72,11 @@
         evacuatedZonesGauge =
                 gauge(registry, "citrontide_gateway_evacuated_zones", "Zones whose upstreams get no requests by order");
         sendMonitor = new SendMonitor(registry);
+        coldReports = new ColdReports(registry);
+    }
+
+    ColdReports coldReports() {
+        return coldReports;
     }
 
     SendMonitor sendMonitor() {
