Derive the limit on late requests after an outage from slots and gateways

Each gateway let 2 late requests wait for their first event, whatever the number of slots and gateways: 34 of 504 slots for 17 gateways, 92 of 441 for 46. The limit is now 1/8 of the slots over all gateways, which is 2 for 8 gateways and 128 slots as before; a fraction is handed out in turns.

--- a/core/src/main/java/org/citrontide/core/gateway/AdmissionQueue.java
+++ b/core/src/main/java/org/citrontide/core/gateway/AdmissionQueue.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeSet;
+import java.util.function.LongToIntFunction;
 
 import org.citrontide.core.verdict.Reason;
 
@@ -30,9 +31,6 @@
     private static final double MAX_WAIT_FRACTION = 0.35;
     // Each gateway probes on its own: it detects a recovery within this interval plus the time to a first event.
     private static final Duration PROBE_INTERVAL = Duration.ofMillis(300);
-    // Maximum number of late requests of one gateway before their first event; at the rate of first events
-    // they use about half of the slots.
-    private static final int MAX_LATE_PENDING = 2;
     // Network partitions and restarts end within this time; in a longer outage waiting is not known to help.
     private static final Duration LONG_OUTAGE = Duration.ofSeconds(8);
     // Refused callers have retried within this time: they wait for at most a third of their deadline, 2.7 s of 8 s.
@@ -44,6 +42,7 @@
             new TreeSet<>(Comparator.<OpenGatewayRequest>comparingInt(open -> open.request.rank())
                     .thenComparingLong(open -> -open.request.arrivedNanos())
                     .thenComparingLong(open -> open.request.id()));
+    private final LongToIntFunction lateLimit;
     private boolean isDown;
     private long downSinceNanos;
     private long lastRejectionNanos;
@@ -53,6 +52,11 @@
     private int latePending;
     private OptionalLong blockedUntilNanos = OptionalLong.empty();
 
+    /** Creates a queue; the limit on late requests before their first event depends on the time in ns. */
+    AdmissionQueue(LongToIntFunction lateLimit) {
+        this.lateLimit = lateLimit;
+    }
+
     boolean isDown() {
         return isDown;
     }
@@ -96,7 +100,7 @@
         if (isDown) {
             return tryProbe(nowNanos);
         }
-        return !isBlocked(nowNanos) && (!isHeldBack(request, nowNanos) || latePending < MAX_LATE_PENDING);
+        return !isBlocked(nowNanos) && (!isHeldBack(request, nowNanos) || latePending < lateLimit.applyAsInt(nowNanos));
     }
 
     /** Records that an attempt of a request was sent. */
@@ -142,11 +146,11 @@
         if (isDown) {
             return pollProbe(nowNanos);
         }
-        if (isBlocked(nowNanos)) {
+        if (waiting.isEmpty() || isBlocked(nowNanos)) {
             return List.of();
         }
         List<OpenGatewayRequest> sendable = new ArrayList<>();
-        int room = MAX_LATE_PENDING - latePending;
+        int room = lateLimit.applyAsInt(nowNanos) - latePending;
         for (OpenGatewayRequest open : waiting) {
             boolean isHeldBack = isHeldBack(open.request, nowNanos);
             if (!isHeldBack || room > 0) {
--- a/core/src/main/java/org/citrontide/core/gateway/DispatchState.java
+++ b/core/src/main/java/org/citrontide/core/gateway/DispatchState.java
@@ -2,17 +2,22 @@
 
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
+import org.citrontide.core.capacity.LateRequestLimit;
+import org.citrontide.core.routes.ListedUpstream;
+
 /** What a {@link GatewayDispatcher} keeps between events. Not thread-safe: confined to the dispatcher's thread. */
 final class DispatchState {
     final UpstreamRegistry registry = new UpstreamRegistry();
     final GroupHealth groupHealth = new GroupHealth();
     final UpstreamPlacement placement;
     final RetryAfterPolicy retryAfterPolicy;
+    final LateRequestLimit lateRequestLimit = new LateRequestLimit();
     final ServiceStates services;
     final SpeedMonitor speedMonitor = new SpeedMonitor();
     final CrashGuard crashGuard = new CrashGuard();
@@ -25,6 +30,18 @@
     DispatchState(String zone, Supplier<GatewayRetryBudget> retryBudgetFactory, RandomGenerator random) {
         this.placement = new UpstreamPlacement(registry, groupHealth, new UpstreamSelector(zone, random));
         this.retryAfterPolicy = new RetryAfterPolicy(random);
-        this.services = new ServiceStates(retryBudgetFactory);
+        this.services = new ServiceStates(retryBudgetFactory, lateRequestLimit, registry::inFlight);
+    }
+
+    void replaceUpstreams(List<ListedUpstream> upstreams, long nowNanos) {
+        registry.replaceAll(upstreams, nowNanos);
+        Map<String, Integer> slots = new HashMap<>();
+        upstreams.forEach(u -> slots.merge(u.service(), u.slots(), Integer::sum));
+        lateRequestLimit.setSlots(slots);
+    }
+
+    void setSlots(SendSlots slots) {
+        placement.setSlots(slots);
+        lateRequestLimit.setGateways(slots.index(), slots.count(), slots.epochNanos());
     }
 }
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
@@ -58,12 +58,12 @@
                 Optional.ofNullable(state.byAttempt.get(p.attempt()))
                         .ifPresent(open -> open.attempt.orElseThrow().setPaused(p.isPaused(), nowNanos));
             case GatewayEvent.AttemptEnded e -> handler.handleAttemptEnded(e);
-            case GatewayEvent.UpstreamsUpdated u -> state.registry.replaceAll(u.upstreams(), nowNanos);
+            case GatewayEvent.UpstreamsUpdated u -> state.replaceUpstreams(u.upstreams(), nowNanos);
             case GatewayEvent.ReportReceived r ->
                 state.registry.find(r.upstream()).ifPresent(u -> handler.handleReport(u, r));
             case GatewayEvent.GroupsUpdated g -> state.groupHealth.setGroups(g.groupByUpstream());
             case GatewayEvent.HeadReceived h -> handler.handleHeadReceived(h);
-            case GatewayEvent.SlotsUpdated u -> state.placement.setSlots(u.slots());
+            case GatewayEvent.SlotsUpdated u -> state.setSlots(u.slots());
             case GatewayEvent.UpstreamChecked c -> handler.handleUpstreamChecked(c);
             case GatewayEvent.CrashEvidenceUpdated c -> handler.handleCrashEvidence(c);
             case GatewayEvent.Tick t -> handler.tick();
--- a/core/src/main/java/org/citrontide/core/gateway/ServiceState.java
+++ b/core/src/main/java/org/citrontide/core/gateway/ServiceState.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.LongToIntFunction;
 
 import org.citrontide.core.routes.Route;
 import org.citrontide.core.verdict.Reason;
@@ -13,11 +14,12 @@
     private static final int STALL_TARGET_MULTIPLE = 3;
 
     final GatewayRetryBudget retryBudget;
-    final AdmissionQueue queue = new AdmissionQueue();
+    final AdmissionQueue queue;
     final StallDetector stallDetector = new StallDetector();
 
-    ServiceState(GatewayRetryBudget retryBudget) {
+    ServiceState(GatewayRetryBudget retryBudget, LongToIntFunction lateLimit) {
         this.retryBudget = retryBudget;
+        this.queue = new AdmissionQueue(lateLimit);
     }
 
     /** Spends a retry if the budget allows it, and reports the first one that it denies to a request. */
--- a/core/src/main/java/org/citrontide/core/gateway/UpstreamRegistry.java
+++ b/core/src/main/java/org/citrontide/core/gateway/UpstreamRegistry.java
@@ -56,6 +56,16 @@
         return byService.getOrDefault(service, List.of());
     }
 
+    /**
+     * Returns the number of this gateway's attempts in flight at a service.
+     *
+     * @param service name of the service
+     * @return number of attempts without an outcome
+     */
+    public int inFlight(String service) {
+        return ofService(service).stream().mapToInt(UpstreamState::inFlight).sum();
+    }
+
     /**
      * Returns whether a service has another upstream that is responding.
      *
--- a/core/src/test/java/org/citrontide/core/gateway/GroupOutageLoadTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/GroupOutageLoadTest.java
@@ -1,16 +1,21 @@
 package org.citrontide.core.gateway;
 
+import org.citrontide.core.gateway.GroupOutageSimulation.Scenario;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
+import static org.citrontide.core.gateway.GroupOutageSimulation.ARRIVALS_AFTER_MS;
 import static org.citrontide.core.gateway.GroupOutageSimulation.DOWN_FROM_MS;
 import static org.citrontide.core.gateway.GroupOutageSimulation.DOWN_UNTIL_MS;
 import static org.citrontide.core.gateway.GroupOutageSimulation.LAST_ARRIVAL_MS;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /**
- * Simulates an outage of a group of several seconds while 52 requests per second arrive at eight gateways. Callers wait
- * 2 s for a first event, honour the retry delay and retry once. Guards against outages in which callers fail although
- * the group recovers before their deadlines, and against a backlog of late requests that delays new ones afterwards.
+ * Simulates an outage of a group of several seconds while 52 requests per second arrive at eight gateways, or more at
+ * more gateways. Callers wait 2 s for a first event, honour the retry delay and retry once. Guards against outages in
+ * which callers fail although the group recovers before their deadlines, and against a backlog of late requests that
+ * delays new ones afterwards.
  */
 final class GroupOutageLoadTest {
     // Two waits at a gateway of 1.7 and 1.5 s, and a retry delay of 1.9 s between them, less one second until the
@@ -20,6 +25,9 @@
     // A gateway detects the recovery of the group by a probe and its first event.
     private static final int RECOVERY_DETECTION_MS = 600;
 
+    private static final int SEEDS = 5;
+    private static final int OUTAGE_MS = 5_400;
+
     // Silence of all streams of a group for half a second shows that it has stalled.
     private static final int STALL_DETECTION_MS = 600;
 
@@ -51,6 +59,35 @@
         }
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        // gateways, ranks, slots, requests per s, served and on time relative to a fixed limit for each gateway
+        "17, 72, 7, 200, 1.04, 0.96",
+        "46, 63, 7, 180, 0.9, 1.08",
+        "8, 16, 8, 52, 1, 1",
+        "39, 72, 8, 235, 0.96, 0.98",
+    })
+    void lateRequestsUseTheSlotsThatTheNumberOfGatewaysLeavesThem(
+            int gateways, int ranks, int slots, double perSecond, double minServedRatio, double minOnTimeRatio) {
+        double[] served = new double[2];
+        double[] onTime = new double[2];
+        int end = DOWN_FROM_MS + OUTAGE_MS;
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            for (int known = 0; known <= 1; known++) {
+                GroupOutageSimulation s = new GroupOutageSimulation(
+                        seed, Scenario.ofOneGroup(gateways, ranks, slots, perSecond / 1000, known == 1, OUTAGE_MS));
+                s.simulate();
+                served[known] += s.servedShare(DOWN_FROM_MS, end) / SEEDS;
+                onTime[known] += s.onTimeShare(end + RECOVERY_DETECTION_MS, end + ARRIVALS_AFTER_MS) / SEEDS;
+            }
+        }
+        System.out.printf(
+                "late requests gateways=%d slots=%d served=%.3f before=%.3f on-time-after=%.3f before=%.3f%n",
+                gateways, ranks * slots, served[1], served[0], onTime[1], onTime[0]);
+        assertTrue(served[1] >= minServedRatio * served[0], "served " + served[1] + ", before " + served[0]);
+        assertTrue(onTime[1] >= minOnTimeRatio * onTime[0], "on time " + onTime[1] + ", before " + onTime[0]);
+    }
+
     @Test
     void requestsOfABrokenGroupAreServedByTheOtherGroup() {
         for (int seed = 1; seed <= 5; seed++) {
--- a/core/src/test/java/org/citrontide/core/gateway/GroupOutageSimulation.java
+++ b/core/src/test/java/org/citrontide/core/gateway/GroupOutageSimulation.java
@@ -29,18 +29,19 @@
     static final int DOWN_UNTIL_MS = 9_000;
     static final int LAST_ARRIVAL_MS = 12_000;
     static final int GATEWAYS = 8;
+    static final int ARRIVALS_AFTER_MS = 3_000;
     static final double RETRY_RATIO = 0.2;
     static final double RETRY_SLACK = 92;
 
     private static final long MS = 1_000_000;
-    private static final int RANKS = 16;
-    private static final int SLOTS = 8;
     private static final int DEADLINE_MS = 8_000;
     private static final int CALLER_TIMEOUT_MS = 2_000;
     private static final int FIRST_EVENT_MS = 180;
     private static final int EVENT_MS = 50;
     private static final int RESPONSE_MS = 1_200;
     private static final double REQUESTS_PER_MS = 0.052;
+    private static final int RANKS = 16;
+    private static final int SLOTS = 8;
     // Two thirds of what half of the ranks can serve.
     private static final double REQUESTS_PER_MS_OF_SEVERAL_GROUPS = 0.036;
     private static final int TARGET_MS = 400;
@@ -48,6 +49,56 @@
     private static final int STALL_MS = 1_500;
     private static final int REPORT_LAG_MS = 200;
 
+    /**
+     * A period without one member of a group.
+     *
+     * @param fromMs start in ms
+     * @param untilMs end in ms
+     */
+    record Outage(int fromMs, int untilMs) {}
+
+    /**
+     * What a simulation plays.
+     *
+     * @param gateways number of gateways
+     * @param ranks number of group members
+     * @param slots slots of one member
+     * @param requestsPerMs arrival rate
+     * @param groups number of groups, the first of which breaks
+     * @param isGroupKnown whether the gateways know the groups
+     * @param isCountKnown whether the gateways know their number
+     * @param outages periods without one member
+     * @param lastArrivalMs end of the arrivals in ms
+     */
+    record Scenario(
+            int gateways,
+            int ranks,
+            int slots,
+            double requestsPerMs,
+            int groups,
+            boolean isGroupKnown,
+            boolean isCountKnown,
+            List<Outage> outages,
+            int lastArrivalMs) {
+
+        /** Returns a scenario with one group, one outage and arrivals until three seconds after it. */
+        static Scenario ofOneGroup(
+                int gateways, int ranks, int slots, double requestsPerMs, boolean isCountKnown, int outageMs) {
+            int untilMs = DOWN_FROM_MS + outageMs;
+            List<Outage> outages = List.of(new Outage(DOWN_FROM_MS, untilMs));
+            return new Scenario(
+                    gateways,
+                    ranks,
+                    slots,
+                    requestsPerMs,
+                    1,
+                    false,
+                    isCountKnown,
+                    outages,
+                    untilMs + ARRIVALS_AFTER_MS);
+        }
+    }
+
     /** A caller with one request and its retries. */
     private static final class Caller {
         private final long arrivedMs;
@@ -71,8 +122,7 @@
     /** An attempt that waits for a slot of a group member. */
     private record QueuedAttempt(int rank, long order, int gateway, GatewayAction.SendAttempt send) {}
 
-    private final int groups;
-    private final double requestsPerMs;
+    private final Scenario scenario;
     private final SplittableRandom random;
     private final List<GatewayDispatcher> gateways = new ArrayList<>();
     private final List<Map<Long, Caller>> open = new ArrayList<>();
@@ -96,24 +146,42 @@
 
     /** Creates a simulation of a service with several groups, the first of which breaks. */
     GroupOutageSimulation(long seed, int groups, boolean isGroupKnown) {
-        this.groups = groups;
-        this.requestsPerMs = groups > 1 ? REQUESTS_PER_MS_OF_SEVERAL_GROUPS : REQUESTS_PER_MS;
+        this(
+                seed,
+                new Scenario(
+                        GATEWAYS,
+                        RANKS,
+                        SLOTS,
+                        groups > 1 ? REQUESTS_PER_MS_OF_SEVERAL_GROUPS : REQUESTS_PER_MS,
+                        groups,
+                        isGroupKnown,
+                        false,
+                        List.of(new Outage(DOWN_FROM_MS, DOWN_UNTIL_MS)),
+                        LAST_ARRIVAL_MS));
+    }
+
+    /** Creates a simulation of a scenario. */
+    GroupOutageSimulation(long seed, Scenario scenario) {
+        this.scenario = scenario;
         random = new SplittableRandom(seed);
         Map<String, String> groupByUpstream = new HashMap<>();
         List<ListedUpstream> list = new ArrayList<>();
-        for (int r = 0; r < RANKS; r++) {
-            list.add(new ListedUpstream("r" + r, "s", "10.0.0.1", 80, "z", SLOTS, false, 0));
+        for (int r = 0; r < scenario.ranks(); r++) {
+            list.add(new ListedUpstream("r" + r, "s", "10.0.0.1", 80, "z", scenario.slots(), false, 0));
             groupByUpstream.put("r" + r, "s/" + groupOf(r));
             queues.put(
                     "r" + r,
                     new PriorityQueue<>(
                             Comparator.comparingInt(QueuedAttempt::rank).thenComparingLong(QueuedAttempt::order)));
         }
-        for (int g = 0; g < GATEWAYS; g++) {
+        for (int g = 0; g < scenario.gateways(); g++) {
             GatewayDispatcher d = new GatewayDispatcher(
                     "z", () -> RetryBudgets.createInService(RETRY_RATIO, RETRY_SLACK), random.split());
             d.handle(new GatewayEvent.UpstreamsUpdated(list), 0);
-            if (isGroupKnown) {
+            if (scenario.isCountKnown()) {
+                d.handle(new GatewayEvent.SlotsUpdated(new SendSlots(g, scenario.gateways(), 0)), 0);
+            }
+            if (scenario.isGroupKnown()) {
                 d.handle(new GatewayEvent.GroupsUpdated(groupByUpstream), 0);
             }
             gateways.add(d);
@@ -138,8 +206,8 @@
     }
 
     void simulate() {
-        for (nowMs = 1; nowMs < LAST_ARRIVAL_MS + DEADLINE_MS + 1000; nowMs++) {
-            if (nowMs < LAST_ARRIVAL_MS && random.nextDouble() < requestsPerMs) {
+        for (nowMs = 1; nowMs < scenario.lastArrivalMs() + DEADLINE_MS + 1000; nowMs++) {
+            if (nowMs < scenario.lastArrivalMs() && random.nextDouble() < scenario.requestsPerMs()) {
                 Caller c = new Caller(nowMs, random.nextInt(3));
                 callers.add(c);
                 sendRequest(c);
@@ -148,7 +216,7 @@
                 tasks.poll().task().run();
             }
             if (nowMs % 50 == 0) {
-                for (int g = 0; g < GATEWAYS; g++) {
+                for (int g = 0; g < scenario.gateways(); g++) {
                     handle(g, new GatewayEvent.Tick());
                 }
             }
@@ -175,15 +243,16 @@
     }
 
     private boolean isDown(String upstream, long atMs) {
-        return groupOf(Integer.parseInt(upstream.substring(1))) == 0 && atMs >= DOWN_FROM_MS && atMs < DOWN_UNTIL_MS;
+        return groupOf(Integer.parseInt(upstream.substring(1))) == 0
+                && scenario.outages().stream().anyMatch(o -> atMs >= o.fromMs() && atMs < o.untilMs());
     }
 
     private int groupOf(int rank) {
-        return rank * groups / RANKS;
+        return rank * scenario.groups() / scenario.ranks();
     }
 
     private void sendRequest(Caller c) {
-        int g = random.nextInt(GATEWAYS);
+        int g = random.nextInt(scenario.gateways());
         long id = nextId++;
         int attempt = ++c.attempt;
         c.openId = id;
@@ -255,7 +324,7 @@
         }
         if (isDown(s.upstream().id(), nowMs)) {
             rejections++;
-            long stalledMs = groups > 1 ? Math.max(0, DOWN_FROM_MS + STALL_MS - nowMs) : 0;
+            long stalledMs = scenario.groups() > 1 ? Math.max(0, DOWN_FROM_MS + STALL_MS - nowMs) : 0;
             liveAttempts.get(g).add(s.attempt());
             schedule(
                     2 + stalledMs,
@@ -279,7 +348,7 @@
 
     /** Starts queued attempts in admission order while the group member has free slots. */
     private void startQueued(String id) {
-        while (running.getOrDefault(id, 0) < SLOTS && !queues.get(id).isEmpty()) {
+        while (running.getOrDefault(id, 0) < scenario.slots() && !queues.get(id).isEmpty()) {
             QueuedAttempt queued = queues.get(id).poll();
             if (liveAttempts.get(queued.gateway()).contains(queued.send().attempt())) {
                 running.merge(id, 1, Integer::sum);
