Estimate the end of an outage and serve returning callers first

A caller that returned during the same outage was kept for another 1.7 s even if no earlier outage was short enough, and after the outage it waited behind new late requests, although it does not return again.

The durations of the last 8 outages now tell the earliest and the latest end. A second wait that can't reach the earliest end is refused at once; refused callers are told the latest end and their place behind the requests that wait. Without an earlier outage that was longer, nothing changes. Returning callers precede late first requests.

A comparison with restarted gateways was ruled out, since a restart also clears the health of the upstreams.

--- a/core/src/main/java/org/citrontide/core/gateway/AdmissionQueue.java
+++ b/core/src/main/java/org/citrontide/core/gateway/AdmissionQueue.java
@@ -9,6 +9,7 @@
 import java.util.TreeSet;
 import java.util.function.LongToIntFunction;
 
+import org.citrontide.core.capacity.OutageEstimator;
 import org.citrontide.core.verdict.Reason;
 
 /**
@@ -18,9 +19,11 @@
  *
  * <p>Handles outages of a group of one or several seconds under a constant arrival rate, and the backlog of late
  * requests after the recovery. A request waits no longer than its caller is certain to wait; then it is refused, so
- * that the caller can retry. While the group is down, only one request per interval probes it, because a rejected probe
- * counts as a retry when it is sent again. After the recovery the number of late requests whose response has not
- * started is limited, so that slots remain free for other requests.
+ * that the caller can retry. A caller that returns during the same outage is refused at once if earlier outages lasted
+ * longer than it can wait; otherwise it precedes requests that wait for the first time, whose callers can still return.
+ * While the group is down, only one request per interval probes it, because a rejected probe counts as a retry when it
+ * is sent again. After the recovery the number of late requests whose response has not started is limited, so that
+ * slots remain free for other requests.
  *
  * <p>Invariant: a waiting request has no attempt in flight. Not thread-safe: confined to the dispatcher's thread.
  */
@@ -35,15 +38,20 @@
     private static final Duration LONG_OUTAGE = Duration.ofSeconds(8);
     // Refused callers have retried within this time: they wait for at most a third of their deadline, 2.7 s of 8 s.
     private static final Duration BACKLOG_PERIOD = Duration.ofSeconds(4);
+    // A late request that is sent after an outage has its first event after about this time.
+    private static final Duration LATE_FIRST_EVENT = Duration.ofMillis(200);
     // Limits the bodies of waiting requests to a few megabytes of memory.
     private static final int MAX_WAITING = 256;
 
     private final TreeSet<OpenGatewayRequest> waiting =
-            new TreeSet<>(Comparator.<OpenGatewayRequest>comparingInt(open -> open.request.rank())
+            new TreeSet<>(Comparator.<OpenGatewayRequest, Boolean>comparing(open -> !isReturning(open.request))
+                    .thenComparingInt(open -> open.request.rank())
                     .thenComparingLong(open -> -open.request.arrivedNanos())
                     .thenComparingLong(open -> open.request.id()));
     private final LongToIntFunction lateLimit;
+    private final OutageEstimator outageEstimator = new OutageEstimator();
     private boolean isDown;
+    private int promised;
     private long downSinceNanos;
     private long lastRejectionNanos;
     private long lastProbeNanos;
@@ -65,6 +73,7 @@
     boolean recordGroupDown(long nowNanos) {
         boolean isNewOutage = !isDown;
         downSinceNanos = isNewOutage ? nowNanos : downSinceNanos;
+        promised = isNewOutage ? 0 : promised;
         isDown = true;
         lastRejectionNanos = nowNanos;
         return isNewOutage;
@@ -76,11 +85,44 @@
             return false;
         }
         isDown = false;
+        outageEstimator.record(Duration.ofNanos(nowNanos - downSinceNanos));
         hadOutage = true;
         recoveredNanos = nowNanos;
         return true;
     }
 
+    /** Returns how long the present outage is expected to last at most, if there is one and earlier ones tell. */
+    Optional<Duration> expectedOutage(long nowNanos) {
+        return estimate(nowNanos).map(OutageEstimator.Estimate::latest);
+    }
+
+    /**
+     * Returns the time at which a refused request can be served after the present outage, and reserves it: the late
+     * requests of this gateway that wait or were promised a time before are sent first.
+     */
+    OptionalLong promiseNanos(long nowNanos) {
+        Optional<Duration> expected = expectedOutage(nowNanos);
+        if (expected.isEmpty()) {
+            return OptionalLong.empty();
+        }
+        long intervalNanos = LATE_FIRST_EVENT.toNanos() / lateLimit.applyAsInt(nowNanos);
+        long places = (long) waiting.size() + promised++;
+        return OptionalLong.of(downSinceNanos + expected.get().toNanos() + places * intervalNanos);
+    }
+
+    private Optional<OutageEstimator.Estimate> estimate(long nowNanos) {
+        return isDown ? outageEstimator.estimate(Duration.ofNanos(nowNanos - downSinceNanos)) : Optional.empty();
+    }
+
+    /** Returns whether a caller that already waited once would stop waiting before the expected end of the outage. */
+    private boolean isSecondWaitFutile(GatewayRequest request, long nowNanos) {
+        return isReturning(request)
+                && estimate(nowNanos)
+                        .filter(e -> waitEndNanos(request)
+                                < downSinceNanos + e.earliest().toNanos())
+                        .isPresent();
+    }
+
     /** Holds all requests until a time at which the rate limit of an upstream permits the next one. */
     void blockUntil(long nanos) {
         blockedUntilNanos = OptionalLong.of(nanos);
@@ -121,6 +163,7 @@
         long earliestNanos = isBlocked(nowNanos) ? blockedUntilNanos.getAsLong() : nowNanos;
         if (open.isResponseStarted
                 || isLongOutage
+                || isSecondWaitFutile(open.request, nowNanos)
                 || earliestNanos >= waitEndNanos(open.request)
                 || waiting.size() >= MAX_WAITING) {
             return false;
@@ -190,6 +233,11 @@
         return hasBacklog && request.route().isStreaming() && request.isLate(nowNanos);
     }
 
+    /** Returns whether the caller of a request was refused before: a first request can still be on time. */
+    private static boolean isReturning(GatewayRequest request) {
+        return request.isLate(request.arrivedNanos());
+    }
+
     private static long waitEndNanos(GatewayRequest request) {
         long maxWaitNanos = (long) (MAX_WAIT_FRACTION * (request.deadlineNanos() - request.arrivedNanos()));
         return request.arrivedNanos() + Math.min(MAX_WAIT.toNanos(), maxWaitNanos);
--- a/core/src/main/java/org/citrontide/core/gateway/DispatchHandler.java
+++ b/core/src/main/java/org/citrontide/core/gateway/DispatchHandler.java
@@ -228,7 +228,8 @@
 
     private void reportGroupState(String service) {
         AdmissionQueue queue = state.services.of(service).queue;
-        actions.add(new GatewayAction.ReportGroupState(service, queue.isDown(), queue.size()));
+        actions.add(new GatewayAction.ReportGroupState(
+                service, queue.isDown(), queue.size(), queue.expectedOutage(nowNanos)));
     }
 
     private void recordOutcome(OpenGatewayRequest open, OpenGatewayRequest.Attempt attempt, AttemptOutcome outcome) {
@@ -326,7 +327,11 @@
     }
 
     private void fail(OpenGatewayRequest open, Reason reason) {
-        end(open, new Verdict.NotRun(reason, state.retryAfterPolicy.retryAfter(reason, open.request, nowNanos)));
+        OptionalLong promise = reason == Reason.NO_UPSTREAM ? queue(open).promiseNanos(nowNanos) : OptionalLong.empty();
+        Duration delay = promise.isPresent()
+                ? state.retryAfterPolicy.retryAt(promise.getAsLong(), open.request, nowNanos)
+                : state.retryAfterPolicy.retryAfter(reason, open.request, nowNanos);
+        end(open, new Verdict.NotRun(reason, delay));
     }
 
     /** Ends a request with the given verdict, or with one that says so if an earlier attempt may have run. */
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayAction.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayAction.java
@@ -101,8 +101,16 @@
      * @param service name of the service
      * @param isDown whether the group is down
      * @param waiting number of requests that wait for the group
+     * @param expectedOutage how long the outage is expected to last at most, empty if it ended or nothing is known
      */
-    record ReportGroupState(String service, boolean isDown, int waiting) implements GatewayAction {}
+    record ReportGroupState(String service, boolean isDown, int waiting, Optional<Duration> expectedOutage)
+            implements GatewayAction {
+
+        /** Creates a report without an expected duration. */
+        ReportGroupState(String service, boolean isDown, int waiting) {
+            this(service, isDown, waiting, Optional.empty());
+        }
+    }
 
     /**
      * Reports that one of several groups of a service receives no requests because it lost a member, or receives them
--- a/core/src/main/java/org/citrontide/core/gateway/RetryAfterPolicy.java
+++ b/core/src/main/java/org/citrontide/core/gateway/RetryAfterPolicy.java
@@ -45,4 +45,18 @@
         long nanos = (long) (factor * Math.min(mean, remaining * MAX_FRACTION));
         return Duration.ofNanos(nanos);
     }
+
+    /**
+     * Returns the delay of a caller that can be served at a known time.
+     *
+     * @param capacityNanos monotonic time in ns at which the caller can be served
+     * @param request the refused request
+     * @param nowNanos monotonic time in ns
+     * @return delay from now, at most what the caller waits
+     */
+    public Duration retryAt(long capacityNanos, GatewayRequest request, long nowNanos) {
+        long remaining = Math.max(0, request.deadlineNanos() - nowNanos);
+        long delay = Math.max(OVERLOAD_DELAY.toNanos(), capacityNanos - nowNanos);
+        return Duration.ofNanos((long) Math.min(delay, remaining * MAX_FRACTION));
+    }
 }
--- a/core/src/test/java/org/citrontide/core/gateway/GroupOutageLoadTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/GroupOutageLoadTest.java
@@ -1,5 +1,9 @@
 package org.citrontide.core.gateway;
 
+import java.util.Arrays;
+import java.util.List;
+
+import org.citrontide.core.gateway.GroupOutageSimulation.Outage;
 import org.citrontide.core.gateway.GroupOutageSimulation.Scenario;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -88,6 +92,52 @@
         assertTrue(onTime[1] >= minOnTimeRatio * onTime[0], "on time " + onTime[1] + ", before " + onTime[0]);
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        // gateways, ranks, slots, requests per s, duration of the third outage in ms
+        "17, 72, 7, 200, 5400",
+        "46, 63, 7, 180, 5400",
+        "8, 16, 8, 52, 6000",
+        "17, 72, 7, 200, 4500",
+        "17, 72, 7, 200, 6500",
+    })
+    void callersAreToldWhenAnOutageEndsIfEarlierOnesAreKnown(
+            int gateways, int ranks, int slots, double perSecond, int durationMs) {
+        double[] served = new double[2];
+        double[] onTime = new double[2];
+        double[] vain = new double[2];
+        double[] byRank = new double[3];
+        int from = 63_000;
+        int end = from + durationMs;
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            for (int known = 0; known <= 1; known++) {
+                List<Outage> outages = List.of(
+                        new Outage(3_000, known == 1 ? 8_400 : 3_400),
+                        new Outage(33_000, known == 1 ? 38_900 : 33_400),
+                        new Outage(from, end));
+                GroupOutageSimulation s = new GroupOutageSimulation(
+                        seed, Scenario.ofOutages(gateways, ranks, slots, perSecond / 1000, outages));
+                s.simulate();
+                served[known] += s.servedShare(from, end) / SEEDS;
+                onTime[known] += s.onTimeShare(end + RECOVERY_DETECTION_MS, end + ARRIVALS_AFTER_MS) / SEEDS;
+                for (int rank = 0; rank < 3; rank++) {
+                    byRank[rank] += known * s.servedShareOfRank(rank, from, end) / SEEDS;
+                }
+                vain[known] += s.vainSeconds(from, end) / SEEDS;
+            }
+        }
+        System.out.printf(
+                "third outage gateways=%d ms=%d served=%.3f unknown=%.3f on-time-after=%.3f unknown=%.3f"
+                        + " vain-s=%.0f unknown=%.0f%n",
+                gateways, durationMs, served[1], served[0], onTime[1], onTime[0], vain[1], vain[0]);
+        assertTrue(vain[1] <= 0.9 * vain[0], "seconds waited in vain " + vain[1] + ", without estimate " + vain[0]);
+        assertTrue(served[1] >= 0.96 * served[0], "served " + served[1] + ", without estimate " + served[0]);
+        assertTrue(onTime[1] >= 0.96 * onTime[0], "on time " + onTime[1] + ", without estimate " + onTime[0]);
+        for (int rank = 1; rank < byRank.length; rank++) {
+            assertTrue(byRank[rank - 1] >= byRank[rank], "served by rank " + Arrays.toString(byRank));
+        }
+    }
+
     @Test
     void requestsOfABrokenGroupAreServedByTheOtherGroup() {
         for (int seed = 1; seed <= 5; seed++) {
--- a/core/src/test/java/org/citrontide/core/gateway/GroupOutageSimulation.java
+++ b/core/src/test/java/org/citrontide/core/gateway/GroupOutageSimulation.java
@@ -30,6 +30,7 @@
     static final int LAST_ARRIVAL_MS = 12_000;
     static final int GATEWAYS = 8;
     static final int ARRIVALS_AFTER_MS = 3_000;
+    static final int ARRIVALS_BEFORE_MS = 3_000;
     static final double RETRY_RATIO = 0.2;
     static final double RETRY_SLACK = 92;
 
@@ -97,12 +98,27 @@
                     outages,
                     untilMs + ARRIVALS_AFTER_MS);
         }
+
+        /** Returns a scenario with one group and several outages, with a period without arrivals between them. */
+        static Scenario ofOutages(int gateways, int ranks, int slots, double requestsPerMs, List<Outage> outages) {
+            int lastArrivalMs = outages.getLast().untilMs() + ARRIVALS_AFTER_MS;
+            return new Scenario(gateways, ranks, slots, requestsPerMs, 1, false, true, outages, lastArrivalMs);
+        }
+
+        private boolean hasArrivals(long atMs) {
+            return atMs < lastArrivalMs
+                    && outages.stream()
+                            .anyMatch(o ->
+                                    atMs > o.fromMs() - ARRIVALS_BEFORE_MS && atMs < o.untilMs() + ARRIVALS_AFTER_MS);
+        }
     }
 
     /** A caller with one request and its retries. */
     private static final class Caller {
         private final long arrivedMs;
         private final int rank;
+        private long sentMs;
+        private long vainMs;
         private int refusals;
         private int attempt;
         private boolean hasStarted;
@@ -205,9 +221,26 @@
         return rejections;
     }
 
+    /** Returns the share served of the requests of one rank that arrived in a period. */
+    double servedShareOfRank(int rank, long fromMs, long untilMs) {
+        List<Caller> selected = callers.stream()
+                .filter(c -> c.rank == rank && c.arrivedMs >= fromMs && c.arrivedMs < untilMs)
+                .toList();
+        return (double) selected.stream().filter(c -> c.completedMs >= 0).count() / selected.size();
+    }
+
+    /** Returns how long callers that were refused twice waited in vain on their return, in s, by arrival. */
+    double vainSeconds(long fromMs, long untilMs) {
+        return callers.stream()
+                        .filter(c -> c.arrivedMs >= fromMs && c.arrivedMs < untilMs)
+                        .mapToLong(c -> c.vainMs)
+                        .sum()
+                / 1000.0;
+    }
+
     void simulate() {
         for (nowMs = 1; nowMs < scenario.lastArrivalMs() + DEADLINE_MS + 1000; nowMs++) {
-            if (nowMs < scenario.lastArrivalMs() && random.nextDouble() < scenario.requestsPerMs()) {
+            if (scenario.hasArrivals(nowMs) && random.nextDouble() < scenario.requestsPerMs()) {
                 Caller c = new Caller(nowMs, random.nextInt(3));
                 callers.add(c);
                 sendRequest(c);
@@ -255,6 +288,7 @@
         int g = random.nextInt(scenario.gateways());
         long id = nextId++;
         int attempt = ++c.attempt;
+        c.sentMs = nowMs;
         c.openId = id;
         open.get(g).put(id, c);
         Route route = new Route(
@@ -392,6 +426,7 @@
         long left = c.arrivedMs + DEADLINE_MS - nowMs;
         assertTrue(v.retryAfter().toMillis() <= left / 3, "retry delay is longer than callers wait");
         c.refusals++;
+        c.vainMs = c.refusals == 2 ? nowMs - c.sentMs : 0;
         if (c.refusals == 1) {
             schedule(v.retryAfter().toMillis(), () -> sendRequest(c));
         }
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayMetrics.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayMetrics.java
@@ -32,6 +32,7 @@
     private final Counter retriesDenied;
     private final Gauge retryLimitGauge;
     private final Gauge retriesSpentGauge;
+    private final Gauge expectedOutageGauge;
     private final Gauge openRequestsGauge;
     private final Gauge versionGauge;
     private final Gauge responseBytesGauge;
@@ -63,6 +64,10 @@
         retryLimitGauge = serviceGauge(
                 registry, "citrontide_gateway_retry_limit", "Retries that the budget allows in the present window");
         retriesSpentGauge = serviceGauge(registry, "citrontide_gateway_retries_spent", "Retries of the present window");
+        expectedOutageGauge = serviceGauge(
+                registry,
+                "citrontide_gateway_expected_outage_seconds",
+                "Expected duration of the present outage of the group, 0 without an outage or an estimate");
         openRequestsGauge = gauge(registry, "citrontide_gateway_open_requests", "Requests without a final answer");
         versionGauge = gauge(registry, "citrontide_gateway_configuration_version", "Version in force");
         responseBytesGauge =
@@ -109,6 +114,11 @@
         });
     }
 
+    void recordGroupState(GatewayAction.ReportGroupState change) {
+        double seconds = change.expectedOutage().map(Duration::toNanos).orElse(0L) / NANOS_PER_SECOND;
+        expectedOutageGauge.labelValues(change.service()).set(seconds);
+    }
+
     void recordState(int openRequests, long configurationVersion, long responseBytes) {
         openRequestsGauge.set(openRequests);
         responseBytesGauge.set(responseBytes);
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
@@ -318,7 +318,7 @@
                 case GatewayAction.RefuseRequest r -> refuseRequest(r);
                 case GatewayAction.AbortResponse b -> abortResponse(b);
                 case GatewayAction.QuerySpeeds a -> a.upstreams().forEach(speeds::query);
-                case GatewayAction.ReportGroupState n -> log.logGroupState(n);
+                case GatewayAction.ReportGroupState n -> reportGroupState(n);
                 case GatewayAction.ReportGroupAvailability a -> log.logGroupAvailability(a);
                 case GatewayAction.ReportRateLimit l -> log.logRateLimit(l);
                 case GatewayAction.CheckUpstream c ->
@@ -331,6 +331,11 @@
         }
     }
 
+    private void reportGroupState(GatewayAction.ReportGroupState change) {
+        log.logGroupState(change);
+        metrics.recordGroupState(change);
+    }
+
     private void publish(CrashEvidence evidence) {
         if (evidence instanceof CrashEvidence.Crash crash) {
             log.logCrash(crash);
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/RequestLog.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/RequestLog.java
@@ -156,6 +156,11 @@
         LOG.info(change.isDown() ? "group-down" : "group-recovered")
                 .with("service", change.service())
                 .with("waiting", change.waiting())
+                .with(
+                        "expected-ms",
+                        change.expectedOutage()
+                                .map(d -> Long.toString(d.toMillis()))
+                                .orElse("none"))
                 .write();
     }
 
