--- a/core/src/main/java/org/citrontide/core/gateway/AdmissionQueue.java
+++ b/core/src/main/java/org/citrontide/core/gateway/AdmissionQueue.java
@@ -7,7 +7,9 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeSet;
+import java.util.function.LongToIntFunction;
 
+import org.citrontide.core.capacity.OutageEstimator;
 import org.citrontide.core.verdict.Reason;
 
 /**
@@ -17,9 +19,11 @@
  *
  * <p>Handles outages of a group of one or several seconds under a constant arrival rate, and the backlog of late
  * requests after the recovery. A request waits no longer than its caller is certain to wait; then it is refused, so
- * that the caller can retry. While the group is down, only one request per interval probes it, because a rejected probe
- * counts as a retry when it is sent again. After the recovery the number of late requests whose response has not
- * started is limited, so that slots remain free for other requests.
+ * that the caller can retry. A caller that returns during the same outage is refused at once if earlier outages lasted
+ * longer than it can wait; otherwise it precedes requests that wait for the first time, whose callers can still return.
+ * While the group is down, only one request per interval probes it, because a rejected probe counts as a retry when it
+ * is sent again. After the recovery the number of late requests whose response has not started is limited, so that
+ * slots remain free for other requests.
  *
  * <p>Invariant: a waiting request has no attempt in flight. Not thread-safe: confined to the dispatcher's thread.
  */
@@ -30,23 +34,26 @@
     private static final double MAX_WAIT_FRACTION = 0.35;
     // Each gateway probes on its own: it detects a recovery within this interval plus the time to a first event.
     private static final Duration PROBE_INTERVAL = Duration.ofMillis(300);
-    // Maximum number of late requests of one gateway before their first event; at the rate of first events
-    // they use about half of the slots.
-    private static final int MAX_LATE_PENDING = 2;
     // Network partitions and restarts end within this time; in a longer outage waiting is not known to help.
     private static final Duration LONG_OUTAGE = Duration.ofSeconds(8);
     // Refused callers have retried within this time: they wait for at most a third of their deadline, 2.7 s of 8 s.
     private static final Duration BACKLOG_PERIOD = Duration.ofSeconds(4);
+    // A late request that is sent after an outage has its first event after about this time.
+    private static final Duration LATE_FIRST_EVENT = Duration.ofMillis(200);
     // Limits the bodies of waiting requests to a few megabytes of memory.
     private static final int MAX_WAITING = 256;
 
-    private final TreeSet<OpenGatewayRequest> waiting = new TreeSet<>(Comparator.<OpenGatewayRequest>comparingInt(
-                    open -> open.request.rank())
+    private final TreeSet<OpenGatewayRequest> waiting = new TreeSet<>(Comparator.<OpenGatewayRequest, Boolean>comparing(
+                    open -> !isReturning(open.request))
+            .thenComparingInt(open -> open.request.rank())
             // Turns at cold upstreams are known beforehand: in order of arrival, all that wait get one in time.
             .thenComparing(open -> !open.isHeldBack)
             .thenComparingLong(open -> open.isHeldBack ? open.request.arrivedNanos() : -open.request.arrivedNanos())
             .thenComparingLong(open -> open.request.id()));
+    private final LongToIntFunction lateLimit;
+    private final OutageEstimator outageEstimator = new OutageEstimator();
     private boolean isDown;
+    private int promised;
     private long downSinceNanos;
     private long lastRejectionNanos;
     private long lastProbeNanos;
@@ -55,6 +62,11 @@
     private int latePending;
     private OptionalLong blockedUntilNanos = OptionalLong.empty();
 
+    /** Creates a queue; the limit on late requests before their first event depends on the time in ns. */
+    AdmissionQueue(LongToIntFunction lateLimit) {
+        this.lateLimit = lateLimit;
+    }
+
     boolean isDown() {
         return isDown;
     }
@@ -63,6 +75,7 @@
     boolean recordGroupDown(long nowNanos) {
         boolean isNewOutage = !isDown;
         downSinceNanos = isNewOutage ? nowNanos : downSinceNanos;
+        promised = isNewOutage ? 0 : promised;
         isDown = true;
         lastRejectionNanos = nowNanos;
         return isNewOutage;
@@ -74,11 +87,44 @@
             return false;
         }
         isDown = false;
+        outageEstimator.record(Duration.ofNanos(nowNanos - downSinceNanos));
         hadOutage = true;
         recoveredNanos = nowNanos;
         return true;
     }
 
+    /** Returns how long the present outage is expected to last at most, if there is one and earlier ones tell. */
+    Optional<Duration> expectedOutage(long nowNanos) {
+        return estimate(nowNanos).map(OutageEstimator.Estimate::latest);
+    }
+
+    /**
+     * Returns the time at which a refused request can be served after the present outage, and reserves it: the late
+     * requests of this gateway that wait or were promised a time before are sent first.
+     */
+    OptionalLong promiseNanos(long nowNanos) {
+        Optional<Duration> expected = expectedOutage(nowNanos);
+        if (expected.isEmpty()) {
+            return OptionalLong.empty();
+        }
+        long intervalNanos = LATE_FIRST_EVENT.toNanos() / lateLimit.applyAsInt(nowNanos);
+        long places = (long) waiting.size() + promised++;
+        return OptionalLong.of(downSinceNanos + expected.get().toNanos() + places * intervalNanos);
+    }
+
+    private Optional<OutageEstimator.Estimate> estimate(long nowNanos) {
+        return isDown ? outageEstimator.estimate(Duration.ofNanos(nowNanos - downSinceNanos)) : Optional.empty();
+    }
+
+    /** Returns whether a caller that already waited once would stop waiting before the expected end of the outage. */
+    private boolean isSecondWaitFutile(GatewayRequest request, long nowNanos) {
+        return isReturning(request)
+                && estimate(nowNanos)
+                        .filter(e -> waitEndNanos(request)
+                                < downSinceNanos + e.earliest().toNanos())
+                        .isPresent();
+    }
+
     /** Holds all requests until a time at which the rate limit of an upstream permits the next one. */
     void blockUntil(long nanos) {
         blockedUntilNanos = OptionalLong.of(nanos);
@@ -114,7 +160,7 @@
         if (isDown) {
             return tryProbe(nowNanos);
         }
-        return !isBlocked(nowNanos) && (!isHeldBack(request, nowNanos) || latePending < MAX_LATE_PENDING);
+        return !isBlocked(nowNanos) && (!isHeldBack(request, nowNanos) || latePending < lateLimit.applyAsInt(nowNanos));
     }
 
     /** Records that an attempt of a request was sent. */
@@ -135,6 +181,7 @@
         long earliestNanos = isBlocked(nowNanos) ? blockedUntilNanos.getAsLong() : nowNanos;
         if (open.isResponseStarted
                 || isLongOutage
+                || isSecondWaitFutile(open.request, nowNanos)
                 || earliestNanos >= waitEndNanos(open.request)
                 || waiting.size() >= MAX_WAITING) {
             return false;
@@ -160,11 +207,11 @@
         if (isDown) {
             return pollProbe(nowNanos);
         }
-        if (isBlocked(nowNanos)) {
+        if (waiting.isEmpty() || isBlocked(nowNanos)) {
             return List.of();
         }
         List<OpenGatewayRequest> sendable = new ArrayList<>();
-        int room = MAX_LATE_PENDING - latePending;
+        int room = lateLimit.applyAsInt(nowNanos) - latePending;
         for (OpenGatewayRequest open : waiting) {
             boolean isHeldBack = isHeldBack(open.request, nowNanos);
             if (!isHeldBack || room > 0) {
@@ -204,6 +251,11 @@
         return hasBacklog && request.route().isStreaming() && request.isLate(nowNanos);
     }
 
+    /** Returns whether the caller of a request was refused before: a first request can still be on time. */
+    private static boolean isReturning(GatewayRequest request) {
+        return request.isLate(request.arrivedNanos());
+    }
+
     private static long waitEndNanos(GatewayRequest request) {
         long maxWaitNanos = (long) (MAX_WAIT_FRACTION * (request.deadlineNanos() - request.arrivedNanos()));
         return request.arrivedNanos() + Math.min(MAX_WAIT.toNanos(), maxWaitNanos);
--- a/core/src/main/java/org/citrontide/core/gateway/DispatchHandler.java
+++ b/core/src/main/java/org/citrontide/core/gateway/DispatchHandler.java
@@ -118,13 +118,13 @@
         if (queue(open).canWaitUntil(open, turnNanos)) {
             return false;
         }
-        Duration retryAfter = state.retryAfterPolicy.retryAfter(turnNanos, open.request, nowNanos);
+        Duration retryAfter = state.retryAfterPolicy.retryAfterTurn(turnNanos, open.request, nowNanos);
         end(open, new Verdict.NotRun(Reason.OVERLOADED, retryAfter));
         return true;
     }
 
     void handleUpstreams(List<ListedUpstream> upstreams) {
-        state.registry.replaceAll(upstreams, nowNanos);
+        state.replaceUpstreams(upstreams, nowNanos);
         state.coldUpstreams.updateEntries(upstreams, nowNanos);
         if (state.coldUpstreams.hasRules()) {
             state.services.all().forEach(s -> s.queue.unblock());
@@ -305,7 +305,8 @@
 
     private void reportGroupState(String service) {
         AdmissionQueue queue = state.services.of(service).queue;
-        actions.add(new GatewayAction.ReportGroupState(service, queue.isDown(), queue.size()));
+        actions.add(new GatewayAction.ReportGroupState(
+                service, queue.isDown(), queue.size(), queue.expectedOutage(nowNanos)));
     }
 
     private void recordOutcome(OpenGatewayRequest open, OpenGatewayRequest.Attempt attempt, AttemptOutcome outcome) {
@@ -412,7 +413,11 @@
     }
 
     private void fail(OpenGatewayRequest open, Reason reason) {
-        end(open, new Verdict.NotRun(reason, state.retryAfterPolicy.retryAfter(reason, open.request, nowNanos)));
+        OptionalLong promise = reason == Reason.NO_UPSTREAM ? queue(open).promiseNanos(nowNanos) : OptionalLong.empty();
+        Duration delay = promise.isPresent()
+                ? state.retryAfterPolicy.retryAt(promise.getAsLong(), open.request, nowNanos)
+                : state.retryAfterPolicy.retryAfter(reason, open.request, nowNanos);
+        end(open, new Verdict.NotRun(reason, delay));
     }
 
     /** Ends a request with the given verdict, or with one that says so if an earlier attempt may have run. */
--- a/core/src/main/java/org/citrontide/core/gateway/DispatchState.java
+++ b/core/src/main/java/org/citrontide/core/gateway/DispatchState.java
@@ -2,12 +2,15 @@
 
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
+import org.citrontide.core.capacity.LateRequestLimit;
 import org.citrontide.core.locality.LocalityPolicy;
+import org.citrontide.core.routes.ListedUpstream;
 import org.citrontide.core.warmup.ColdSettings;
 import org.citrontide.core.warmup.ColdUpstreams;
 
@@ -18,6 +21,7 @@
     final ColdUpstreams coldUpstreams;
     final UpstreamPlacement placement;
     final RetryAfterPolicy retryAfterPolicy;
+    final LateRequestLimit lateRequestLimit = new LateRequestLimit();
     final ServiceStates services;
     final SpeedMonitor speedMonitor = new SpeedMonitor();
     final CrashGuard crashGuard = new CrashGuard();
@@ -37,6 +41,18 @@
         this.placement = new UpstreamPlacement(
                 registry, locality, groupHealth, new UpstreamSelector(zone, random), coldUpstreams);
         this.retryAfterPolicy = new RetryAfterPolicy(random);
-        this.services = new ServiceStates(retryBudgetFactory);
+        this.services = new ServiceStates(retryBudgetFactory, lateRequestLimit, registry::inFlight);
+    }
+
+    void replaceUpstreams(List<ListedUpstream> upstreams, long nowNanos) {
+        registry.replaceAll(upstreams, nowNanos);
+        Map<String, Integer> slots = new HashMap<>();
+        upstreams.forEach(u -> slots.merge(u.service(), u.slots(), Integer::sum));
+        lateRequestLimit.setSlots(slots);
+    }
+
+    void setSlots(SendSlots slots) {
+        placement.setSlots(slots);
+        lateRequestLimit.setGateways(slots.index(), slots.count(), slots.epochNanos());
     }
 }
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
@@ -90,7 +90,7 @@
             case GatewayEvent.ColdRulesUpdated u -> state.coldUpstreams.setRules(u.byService(), nowNanos);
             case GatewayEvent.TurnsUpdated u -> state.coldUpstreams.setOrder(u.order(), nowNanos);
             case GatewayEvent.ZonesReturned z -> state.coldUpstreams.recordReturn(z.zones(), nowNanos);
-            case GatewayEvent.SlotsUpdated u -> state.placement.setSlots(u.slots());
+            case GatewayEvent.SlotsUpdated u -> state.setSlots(u.slots());
             case GatewayEvent.UpstreamChecked c -> handler.handleUpstreamChecked(c);
             case GatewayEvent.CrashEvidenceUpdated c -> handler.handleCrashEvidence(c);
             case GatewayEvent.EvacuatedZonesUpdated e -> handler.handleEvacuatedZones(e.zones());
--- a/core/src/main/java/org/citrontide/core/gateway/RetryAfterPolicy.java
+++ b/core/src/main/java/org/citrontide/core/gateway/RetryAfterPolicy.java
@@ -54,10 +54,24 @@
      * @param nowNanos monotonic time in ns
      * @return delay from now, not shorter than until the capacity unless the caller doesn't wait for that long
      */
-    public Duration retryAfter(long capacityNanos, GatewayRequest request, long nowNanos) {
+    public Duration retryAfterTurn(long capacityNanos, GatewayRequest request, long nowNanos) {
         double remaining = Math.max(0, request.deadlineNanos() - nowNanos);
         double delay = Math.max(0, capacityNanos - nowNanos)
                 + OVERLOAD_JITTER * OVERLOAD_DELAY.toNanos() * random.nextDouble();
         return Duration.ofNanos((long) Math.min(delay, remaining * MAX_FRACTION));
     }
+
+    /**
+     * Returns the delay of a caller that can be served at a known time.
+     *
+     * @param capacityNanos monotonic time in ns at which the caller can be served
+     * @param request the refused request
+     * @param nowNanos monotonic time in ns
+     * @return delay from now, at most what the caller waits
+     */
+    public Duration retryAt(long capacityNanos, GatewayRequest request, long nowNanos) {
+        long remaining = Math.max(0, request.deadlineNanos() - nowNanos);
+        long delay = Math.max(OVERLOAD_DELAY.toNanos(), capacityNanos - nowNanos);
+        return Duration.ofNanos((long) Math.min(delay, remaining * MAX_FRACTION));
+    }
 }
--- a/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
@@ -36,8 +36,8 @@
  * <p>Invariants: a version of the configuration is passed on only if it is higher than the previous one; an entry that
  * can't be decoded yields no upstream and doesn't affect the others; an unexpected failure of the listener ends neither
  * the handling of other changes nor the watch; a change that is made while the pages are read is seen by the watch that
- * follows; a watch whose response is too large is replaced by a read of all pages, each of which has a bounded size; the
- * copy of a peer replaces nothing that is newer. Not thread-safe: confined to the event loop.
+ * follows; a watch whose response is too large is replaced by a read of all pages, each of which has a bounded size;
+ * the copy of a peer replaces nothing that is newer. Not thread-safe: confined to the event loop.
  */
 public final class StoreMirror {
     private static final EventLog LOG = EventLog.of(StoreMirror.class);
