Let repeated attempts keep waiting, and report cold upstreams that are gone

A repeated attempt whose upstream was unreachable was refused when no cold upstream had a turn, although a first attempt waits.

The gauge kept its value when the last cold upstream left the list, restarted warm, or its rule was removed, since only upstreams in the list were compared.

The search for a turn is skipped while no upstream is limited, and upstreams are found by hash: a service with a rule pays nothing once all are warm.

Checked: mvn -pl core test -Dcold.print=true of warmup.*, Cold*, GatewayDispatcher* and UpstreamRateLimit*, green.

--- a/core/src/main/java/org/citrontide/core/gateway/DispatchHandler.java
+++ b/core/src/main/java/org/citrontide/core/gateway/DispatchHandler.java
@@ -64,6 +64,9 @@
     private void waitForRateLimit(OpenGatewayRequest open, Reason noUpstreamReason) {
         OptionalLong openNanos = state.placement.nextOpenNanos(open, nowNanos);
         boolean isHeldBack = recordHeldBack(open);
+        if (open.attemptCount > 0 && tryWaitForTurn(open)) {
+            return;
+        }
         if (open.attemptCount > 0 || openNanos.isEmpty()) {
             fail(open, noUpstreamReason);
             return;
--- a/core/src/main/java/org/citrontide/core/gateway/UpstreamPlacement.java
+++ b/core/src/main/java/org/citrontide/core/gateway/UpstreamPlacement.java
@@ -52,7 +52,8 @@
 
     /** Returns whether an upstream would accept the request if it were not cold. */
     boolean isHeldBack(OpenGatewayRequest open, long nowNanos) {
-        return coldUpstreams.hasRule(open.request.service())
+        return coldUpstreams.mayLimit()
+                && coldUpstreams.hasRule(open.request.service())
                 && eligible(open).stream()
                         .anyMatch(u -> u.isAccepting(nowNanos)
                                 && !open.triedIds.contains(u.entry().id())
@@ -80,7 +81,7 @@
 
     /** Returns the upstreams without those whose cold status keeps a request from them now. */
     private List<UpstreamState> withTurn(OpenGatewayRequest open, List<UpstreamState> upstreams, long nowNanos) {
-        if (!coldUpstreams.hasRule(open.request.service())) {
+        if (!coldUpstreams.mayLimit() || !coldUpstreams.hasRule(open.request.service())) {
             return upstreams;
         }
         return upstreams.stream()
--- a/core/src/main/java/org/citrontide/core/warmup/ColdUpstreams.java
+++ b/core/src/main/java/org/citrontide/core/warmup/ColdUpstreams.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 
 import org.citrontide.core.routes.ColdRule;
@@ -48,10 +47,12 @@
 
     private final ColdSettings settings;
     private final RandomGenerator random;
-    private final Map<String, Tracked> byId = new TreeMap<>();
+    private final Map<String, Tracked> byId = new HashMap<>();
     private Map<String, ColdRule> rules = Map.of();
     private Optional<TurnOrder> order = Optional.empty();
+    private final List<Tracked> removed = new ArrayList<>();
     private boolean hasList;
+    private boolean mayLimit;
 
     /**
      * Creates the state of a gateway that knows no upstream.
@@ -108,6 +109,9 @@
                 appeared.merge(l.service(), 1, Integer::sum);
             }
         }
+        byId.values().stream()
+                .filter(t -> t.reported != ColdChange.Phase.WARM && !present.contains(t.entry.id()))
+                .forEach(removed::add);
         byId.keySet().retainAll(present);
         for (ListedUpstream l : list) {
             if (isTracked(l)) {
@@ -153,6 +157,15 @@
         return rules.containsKey(service);
     }
 
+    /**
+     * Returns whether an upstream may be limited now.
+     *
+     * @return false if none is
+     */
+    public boolean mayLimit() {
+        return mayLimit;
+    }
+
     /**
      * Returns whether any service has a rule.
      *
@@ -211,10 +224,12 @@
      * @return the changes
      */
     public List<ColdChange> pollChanges(long nowNanos) {
-        if (rules.isEmpty()) {
+        if (!mayLimit && removed.isEmpty()) {
             return List.of();
         }
-        List<Tracked> changed = new ArrayList<>();
+        List<Tracked> changed = new ArrayList<>(removed);
+        removed.forEach(t -> t.reported = ColdChange.Phase.WARM);
+        removed.clear();
         Map<String, Integer> cold = new HashMap<>();
         for (Tracked t : byId.values()) {
             ColdChange.Phase phase = phase(t, nowNanos);
@@ -229,13 +244,14 @@
                 t.share = Optional.empty();
             }
         }
+        mayLimit = byId.values().stream().anyMatch(t -> t.share.isPresent());
         return changed.stream()
                 .map(t -> change(t, cold.getOrDefault(t.entry.service(), 0), nowNanos))
                 .toList();
     }
 
     private ColdChange change(Tracked t, int coldUpstreams, long nowNanos) {
-        ColdStatus s = t.status.orElseThrow();
+        ColdStatus s = t.status.orElse(new ColdStatus(ColdStatus.Source.APPEARANCE, nowNanos, Duration.ZERO));
         return new ColdChange(
                 t.entry,
                 t.reported,
@@ -260,7 +276,7 @@
 
     private void add(ListedUpstream l, boolean isTogether, long nowNanos) {
         Tracked t = new Tracked(l);
-        byId.put(l.id(), t);
+        Optional.ofNullable(byId.put(l.id(), t)).ifPresent(old -> t.reported = old.reported);
         Optional<ColdStatus> stated = entryStatus(l, nowNanos);
         if (hasList && (isTogether || stated.isEmpty())) {
             observe(t, new ColdStatus(ColdStatus.Source.APPEARANCE, nowNanos, UNBOUNDED), nowNanos);
@@ -307,6 +323,7 @@
         if (order.isEmpty()) {
             order = Optional.of(TurnOrder.unknown(random.nextInt()));
         }
+        mayLimit = true;
         t.share = Optional.of(new TurnShare(t.entry.id(), rule, settings, order.get(), nowNanos));
     }
 
--- a/core/src/test/java/org/citrontide/core/warmup/ColdUpstreamsTest.java
+++ b/core/src/test/java/org/citrontide/core/warmup/ColdUpstreamsTest.java
@@ -130,6 +130,29 @@
         assertFalse(isLimited("c", 110_000));
     }
 
+    // Guards against a gauge that keeps its value after the upstream, or the rule, is gone.
+    @Test
+    void anUpstreamThatIsNoLongerLimitedIsReportedOnce() {
+        update(100_000, entry("a", OLD, 3_000, 100_000), entry("b", OLD, 3_000, 100_000));
+        assertEquals(2, cold.pollChanges(100_000 * MS).getLast().coldUpstreams());
+        update(100_100, entry("b", OLD, 3_000, 100_000));
+        assertEquals(List.of("a 1"), reportWarm(100_100));
+        update(100_200, entry("b", 100_200, 0, 100_200));
+        assertEquals(List.of("b 0"), reportWarm(100_200));
+        update(100_300, entry("b", 100_300, 3_000, 100_300));
+        assertEquals(1, cold.pollChanges(100_300 * MS).size());
+        cold.setRules(Map.of(), 100_400 * MS);
+        assertEquals(List.of("b 0"), reportWarm(100_400));
+        assertEquals(List.of(), reportWarm(100_500));
+    }
+
+    private List<String> reportWarm(int ms) {
+        return cold.pollChanges(ms * MS).stream()
+                .filter(c -> c.phase() == ColdChange.Phase.WARM)
+                .map(c -> c.upstream().id() + " " + c.coldUpstreams())
+                .toList();
+    }
+
     @Test
     void upstreamsOfAReturnedZoneAreCold() {
         update(100_000, entry("a", OLD, 0, 100_000));
