Keep requests that arrive before the first configuration

When 28 of 46 gateways were started at once, 190 of 290 requests of the next 2 s were refused by gateways that had not read a configuration, told to return after 50 ms, and many of them refused again. Cause: the first filter refused each request while no configuration was in force, with the delay of all early refusals.

GatewayShell checks and dispatches the waiting requests once the first configuration is in force, with their original time of arrival, and after the evacuated zones and upstreams of the same read have been passed on. A caller that leaves, the time limit and a stop remove them. The limit on bodies is checked again, because the configuration may allow less.

Ruled out: a release within setRoutingTable, which finds no upstream yet, and listening only after the first read, which callers see as refused connections.

--- a/gateway/src/main/java/org/citrontide/gateway/caller/CallerRequest.java
+++ b/gateway/src/main/java/org/citrontide/gateway/caller/CallerRequest.java
@@ -1,6 +1,7 @@
 package org.citrontide.gateway.caller;
 
 import java.io.ByteArrayOutputStream;
+import java.util.Map;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -13,6 +14,9 @@
  * <p>Not thread-safe: owned by the event loop.
  */
 public final class CallerRequest {
+    // Entry of the table and two string objects with their arrays, about.
+    private static final int FIELD_OVERHEAD_BYTES = 128;
+
     private final HttpMethod method;
     private final String target;
     private final HttpHeaders headers;
@@ -73,11 +77,29 @@
         return connection;
     }
 
+    /**
+     * Estimates the memory that the request takes up.
+     *
+     * @return size of the head and the body in bytes, with the objects of the header fields
+     */
+    public int memoryBytes() {
+        int bytes = target.length() + body.size();
+        for (Map.Entry<String, String> field : headers) {
+            bytes += field.getKey().length() + field.getValue().length() + FIELD_OVERHEAD_BYTES;
+        }
+        return bytes;
+    }
+
     boolean isKeepAlive() {
         return keepAlive;
     }
 
-    int bodyLength() {
+    /**
+     * Returns the length of the body.
+     *
+     * @return number of body bytes received so far
+     */
+    public int bodyLength() {
         return body.size();
     }
 
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayMetrics.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayMetrics.java
@@ -36,6 +36,7 @@
     private final Gauge versionGauge;
     private final Gauge responseBytesGauge;
     private final Gauge evacuatedZonesGauge;
+    private final StartupMetrics startupMetrics;
     private final SendMonitor sendMonitor;
 
     /**
@@ -70,6 +71,7 @@
                 gauge(registry, "citrontide_gateway_response_bytes", "Memory for incomplete responses in bytes");
         evacuatedZonesGauge =
                 gauge(registry, "citrontide_gateway_evacuated_zones", "Zones whose upstreams get no requests by order");
+        startupMetrics = new StartupMetrics(registry);
         sendMonitor = new SendMonitor(registry);
     }
 
@@ -77,6 +79,10 @@
         return sendMonitor;
     }
 
+    StartupMetrics startupMetrics() {
+        return startupMetrics;
+    }
+
     void recordFirstByte(String team, int rank, long nanos) {
         firstByteSeconds.labelValues(teams.label(team), Integer.toString(rank)).observe(nanos / NANOS_PER_SECOND);
     }
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayRequestFactory.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayRequestFactory.java
@@ -46,8 +46,8 @@
         return stopSchedule.get().accepts(deadline, now) ? Optional.empty() : Optional.of(Reason.DRAINING);
     }
 
-    /** Creates the request that the dispatcher handles, with a new identifier. */
-    GatewayRequest create(CallerRequest callerRequest, RequestHead head, long now) {
+    /** Creates the request that the dispatcher handles, with a new identifier, from one that arrived at a time. */
+    GatewayRequest create(CallerRequest callerRequest, RequestHead head, long arrivedNanos) {
         Route route = head.route();
         Duration timeout = timeout(callerRequest, route);
         int rank = head.team().flatMap(Team::priority).orElse(route.priority());
@@ -62,15 +62,20 @@
                 tokens.completion(),
                 PromptParts.parseShared(callerRequest.headers()),
                 waitEstimator.estimateWait(route.name(), timeout),
-                now,
-                now + timeout.toNanos(),
+                arrivedNanos,
+                arrivedNanos + timeout.toNanos(),
                 head.team().map(Team::allowedRegions).orElse(Set.of()));
     }
 
-    private static Duration timeout(CallerRequest request, Route route) {
-        Duration callerTimeout = UpstreamRequestBuilder.parseNumber(request.headers(), PlatformHeaders.REMAINING_MS)
+    /** Returns the time after which a caller needs no response, whatever its route. */
+    static Duration callerTimeout(CallerRequest request) {
+        return UpstreamRequestBuilder.parseNumber(request.headers(), PlatformHeaders.REMAINING_MS)
                 .map(Duration::ofMillis)
                 .orElse(DEFAULT_TIMEOUT);
+    }
+
+    private static Duration timeout(CallerRequest request, Route route) {
+        Duration callerTimeout = callerTimeout(request);
         return callerTimeout.compareTo(route.timeout()) < 0 ? callerTimeout : route.timeout();
     }
 }
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
@@ -58,6 +58,8 @@
     private final UpstreamChecker checker;
     private final GatewayRequestFactory requestFactory;
     private final GatewayMetrics metrics;
+    private final EventLoop loop;
+    private final StartupRequests startupRequests;
     private final RequestLog log = new RequestLog();
     private final EvacuationTracker evacuations = new EvacuationTracker();
     private final Map<Long, OpenExchange> openById = new HashMap<>();
@@ -92,6 +94,8 @@
         this.checker = new UpstreamChecker(loop);
         this.requestFactory = new GatewayRequestFactory(random);
         this.metrics = metrics;
+        this.loop = loop;
+        this.startupRequests = new StartupRequests(random, metrics.startupMetrics(), System.nanoTime());
         Runnable tick = new GuardedTask("dispatch-tick", this::tick);
         loop.scheduleAtFixedRate(tick, TICK.toMillis(), TICK.toMillis(), TimeUnit.MILLISECONDS);
         metrics.scheduleRetryBudgets(loop, () -> dispatcher.retryBudgets(System.nanoTime()));
@@ -105,6 +109,7 @@
      */
     public void startStop(StopSchedule schedule) {
         stopSchedule = Optional.of(schedule);
+        startupRequests.pollForStop().forEach(held -> refuseEarly(held.caller(), Reason.DRAINING, held.arrivedNanos()));
     }
 
     /**
@@ -122,7 +127,7 @@
      * @return number of open requests
      */
     public int openRequests() {
-        return openById.size();
+        return openById.size() + startupRequests.size();
     }
 
     /**
@@ -132,6 +137,10 @@
      */
     public void setRoutingTable(RoutingTable newTable) {
         table = newTable;
+        if (startupRequests.size() > 0) {
+            // The upstreams and the evacuated zones of the same read are passed on after the configuration.
+            loop.execute(new GuardedTask("startup-release", this::releaseStartupRequests));
+        }
     }
 
     /**
@@ -205,23 +214,54 @@
 
     @Override
     public void requestArrived(CallerRequest request) {
+        acceptRequest(request, System.nanoTime());
+    }
+
+    /** Dispatches a request that arrived at the given time, keeps it until it can be checked, or refuses it. */
+    private void acceptRequest(CallerRequest request, long arrivedNanos) {
         long now = System.nanoTime();
         RequestHead head = new RequestHead(request.target(), request.headers(), table);
         Optional<Reason> refusal = requestFactory.findRefusal(request, head, stopSchedule, now);
         if (refusal.isPresent()) {
-            Verdict verdict = new Verdict.NotRun(refusal.get(), TICK);
-            log.logFilterRefusal(request, table.version(), verdict);
-            Refusals.send(request, verdict);
+            boolean canWait = refusal.get() == Reason.NOT_READY && stopSchedule.isEmpty();
+            if (!canWait || !startupRequests.tryHold(request, now)) {
+                refuseEarly(request, refusal.get(), arrivedNanos);
+            }
             return;
         }
-        GatewayRequest gatewayRequest = requestFactory.create(request, head, now);
+        GatewayRequest gatewayRequest = requestFactory.create(request, head, arrivedNanos);
         openById.put(gatewayRequest.id(), new OpenExchange(request, gatewayRequest));
         idByRequest.put(request, gatewayRequest.id());
         handle(new GatewayEvent.RequestArrived(gatewayRequest));
     }
 
+    private void refuseEarly(CallerRequest request, Reason reason, long arrivedNanos) {
+        Duration retryAfter = reason == Reason.NOT_READY
+                ? startupRequests.retryAfter(request, arrivedNanos, System.nanoTime())
+                : TICK;
+        Verdict verdict = new Verdict.NotRun(reason, retryAfter);
+        log.logFilterRefusal(request, table.version(), verdict);
+        Refusals.send(request, verdict);
+    }
+
+    /** Handles a request that arrived when the configured limit on bodies was not known yet. */
+    private void releaseStartupRequest(StartupRequests.Held held) {
+        if (held.caller().bodyLength() > table.limits().bodyBytes()) {
+            refuseEarly(held.caller(), Reason.BODY_TOO_LARGE, held.arrivedNanos());
+        } else {
+            acceptRequest(held.caller(), held.arrivedNanos());
+        }
+    }
+
+    private void releaseStartupRequests() {
+        for (StartupRequests.Held held : startupRequests.release(System.nanoTime())) {
+            new GuardedTask("startup-request", () -> releaseStartupRequest(held)).run();
+        }
+    }
+
     @Override
     public void callerDisconnected(CallerRequest request) {
+        startupRequests.remove(request);
         Long id = idByRequest.remove(request);
         if (id == null) {
             return;
@@ -299,30 +339,19 @@
         if (exchange == null) {
             return;
         }
-        boolean isTruncated = outcome instanceof AttemptOutcome.Completed && isTruncated(exchange, attempt);
+        boolean isTruncated = outcome instanceof AttemptOutcome.Completed && exchange.isTruncated(attempt);
         AttemptOutcome finalOutcome = isTruncated ? new AttemptOutcome.Broken(Reason.ANSWER_BROKEN) : outcome;
         openByAttempt.remove(attempt.number());
         log.logAttemptEnd(exchange, attempt, finalOutcome);
         handle(new GatewayEvent.AttemptEnded(attempt.number(), finalOutcome));
     }
 
-    /**
-     * Returns whether a streamed response ended within an event, or without any event and any sign of its end: if it
-     * has no length, an upstream that breaks off can't be distinguished from one that has finished.
-     */
-    private static boolean isTruncated(OpenExchange exchange, UpstreamAttempt attempt) {
-        Optional<ResponseHead> head = attempt.head();
-        if (head.isEmpty()) {
-            return false;
-        }
-        boolean isEmpty = attempt.isStreamed() && !exchange.eventMerger.hasEvents();
-        return !exchange.eventMerger.isAtEventBoundary()
-                || isEmpty && !head.get().hasLength();
-    }
-
     private void tick() {
         handle(new GatewayEvent.Tick());
-        metrics.recordState(openById.size(), table.version(), responseMemory.usedBytes());
+        startupRequests
+                .pollOverdue(System.nanoTime())
+                .forEach(held -> refuseEarly(held.caller(), Reason.NOT_READY, held.arrivedNanos()));
+        metrics.recordState(openRequests(), table.version(), responseMemory.usedBytes());
     }
 
     private OpenExchange findExchange(UpstreamAttempt attempt) {
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/OpenExchange.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/OpenExchange.java
@@ -6,6 +6,7 @@
 import org.citrontide.core.gateway.GatewayRequest;
 import org.citrontide.gateway.caller.CallerRequest;
 import org.citrontide.gateway.upstream.EventStreamMerger;
+import org.citrontide.gateway.upstream.ResponseHead;
 import org.citrontide.gateway.upstream.UpstreamAttempt;
 
 /**
@@ -29,4 +30,17 @@
         this.caller = caller;
         this.request = request;
     }
+
+    /**
+     * Returns whether a streamed response ended within an event, or without any event and any sign of its end: if it
+     * has no length, an upstream that breaks off can't be distinguished from one that has finished.
+     */
+    boolean isTruncated(UpstreamAttempt ended) {
+        Optional<ResponseHead> head = ended.head();
+        if (head.isEmpty()) {
+            return false;
+        }
+        boolean isEmpty = ended.isStreamed() && !eventMerger.hasEvents();
+        return !eventMerger.isAtEventBoundary() || isEmpty && !head.get().hasLength();
+    }
 }
