--- a/core/src/main/java/org/citrontide/core/gateway/DispatchHandler.java
+++ b/core/src/main/java/org/citrontide/core/gateway/DispatchHandler.java
@@ -28,10 +28,12 @@
     private final DispatchState state;
     private final long nowNanos;
     private final List<GatewayAction> actions = new ArrayList<>();
+    private final ColdTurnQueue coldTurns;
 
     DispatchHandler(DispatchState state, long nowNanos) {
         this.state = state;
         this.nowNanos = nowNanos;
+        this.coldTurns = new ColdTurnQueue(state, nowNanos, actions);
     }
 
     /** Returns the actions collected so far, in order. */
@@ -51,7 +53,9 @@
             fail(open, Reason.NO_UPSTREAM);
         } else if (queue(open).tryAdmit(request, nowNanos)) {
             send(open, Reason.NO_UPSTREAM);
-        } else if (queue(open).isDown() || !recordHeldBack(open) || !tryRefuseLateTurn(open)) {
+        } else if (queue(open).isDown()
+                || !coldTurns.recordHeldBack(open)
+                || !tryRefuseHeldBack(open, state.placement.nextOpenNanos(open, nowNanos))) {
             waitOrFail(open);
         }
     }
@@ -66,15 +70,15 @@
     /** Queues a request that only rate limits keep from all upstreams, and fails any other. */
     private void waitForRateLimit(OpenGatewayRequest open, Reason noUpstreamReason) {
         OptionalLong openNanos = state.placement.nextOpenNanos(open, nowNanos);
-        boolean isHeldBack = recordHeldBack(open);
-        if (open.attemptCount > 0 && tryWaitForTurn(open)) {
+        boolean isHeldBack = coldTurns.recordHeldBack(open);
+        if (open.attemptCount > 0 && coldTurns.tryQueue(open)) {
             return;
         }
         if (open.attemptCount > 0 || openNanos.isEmpty()) {
             fail(open, noUpstreamReason);
             return;
         }
-        if (isHeldBack && tryRefuseHeldBack(open, openNanos.getAsLong())) {
+        if (isHeldBack && tryRefuseHeldBack(open, openNanos)) {
             return;
         }
         // The upstreams of other regions may be open to the other requests of the service.
@@ -84,46 +88,11 @@
         waitOrFail(open);
     }
 
-    /** Returns whether cold upstreams alone keep a request from being sent, and reports the first time that they do. */
-    private boolean recordHeldBack(OpenGatewayRequest open) {
-        boolean isHeldBack = state.placement.isHeldBack(open, nowNanos);
-        if (isHeldBack && !open.isHeldBack) {
-            open.isHeldBack = true;
-            actions.add(new GatewayAction.ReportHeldBack(open.request));
-        }
-        return isHeldBack;
-    }
-
-    private boolean tryRefuseLateTurn(OpenGatewayRequest open) {
-        OptionalLong openNanos = state.placement.nextOpenNanos(open, nowNanos);
-        return openNanos.isPresent() && tryRefuseHeldBack(open, openNanos.getAsLong());
-    }
-
-    /** Queues a request whose next attempt waits for a turn at a cold upstream; returns false if it can't wait. */
-    private boolean tryWaitForTurn(OpenGatewayRequest open) {
-        if (open.attemptCount >= open.request.route().maxAttempts()
-                || !recordHeldBack(open)
-                || state.placement.select(open, nowNanos).isPresent()) {
-            return false;
-        }
-        OptionalLong openNanos = state.placement.nextOpenNanos(open, nowNanos);
-        if (openNanos.isEmpty() || state.services.of(open).isWaitFutile(open, nowNanos)) {
-            return false;
-        }
-        queue(open).blockUntil(openNanos.getAsLong());
-        return queue(open).tryEnqueue(open, nowNanos);
-    }
-
     /** Refuses a request whose turn at a cold upstream comes too late; returns whether it does. */
-    private boolean tryRefuseHeldBack(OpenGatewayRequest open, long openNanos) {
-        int ahead = queue(open).sizeAhead(open.request.rank());
-        long turnNanos = openNanos + state.placement.queueDelayNanos(open, ahead, nowNanos);
-        if (queue(open).canWaitUntil(open, turnNanos)) {
-            return false;
-        }
-        Duration retryAfter = state.retryAfterPolicy.retryAfterTurn(turnNanos, open.request, nowNanos);
-        end(open, new Verdict.NotRun(Reason.OVERLOADED, retryAfter));
-        return true;
+    private boolean tryRefuseHeldBack(OpenGatewayRequest open, OptionalLong openNanos) {
+        Optional<Verdict.NotRun> refusal = coldTurns.findRefusal(open, openNanos);
+        refusal.ifPresent(r -> end(open, r));
+        return refusal.isPresent();
     }
 
     void handleUpstreams(List<ListedUpstream> upstreams) {
@@ -138,7 +107,7 @@
         for (OpenGatewayRequest open : queue.pollSendable(nowNanos)) {
             if (open.attemptCount == 0 || tryRetry(open, Reason.NO_UPSTREAM)) {
                 send(open, Reason.NO_UPSTREAM);
-            } else if (!tryWaitForTurn(open)) {
+            } else if (!coldTurns.tryQueue(open)) {
                 fail(open, Reason.NO_UPSTREAM);
             }
         }
@@ -405,7 +374,7 @@
     private void retryOrFail(OpenGatewayRequest open, Reason reason) {
         if (tryRetry(open, reason)) {
             send(open, reason);
-        } else if (!tryWaitForTurn(open)) {
+        } else if (!coldTurns.tryQueue(open)) {
             fail(open, reason);
         }
     }
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
@@ -80,7 +80,12 @@
                 random,
                 this);
         this.crashEvidence = new CrashEvidenceStore(
-                client, settings.storeAddress(), settings.peers(), loop, settings.vm(), shell::updateCrashEvidence);
+                client,
+                settings.storeAddress(),
+                settings.peers(),
+                loop,
+                settings.vm(),
+                shell.updates()::updateCrashEvidence);
         shell.setCrashEvidence(crashEvidence);
         this.groups = new GroupStore(client, settings.storeAddress());
         CandidacyDelay candidacyDelay = new CandidacyDelay(settings.linkMegabitsPerSecond(), random);
@@ -153,12 +158,12 @@
     @Override
     public void groupsUpdated(List<MetadataStore.Item> items) {
         groups.updateShared(items);
-        shell.updateGroups(groups.groupByUpstream());
+        shell.updates().updateGroups(groups.groupByUpstream());
     }
 
     @Override
     public void evacuationsUpdated(Set<String> zones) {
-        shell.updateEvacuatedZones(zones);
+        shell.updates().updateEvacuatedZones(zones);
     }
 
     @Override
@@ -199,9 +204,10 @@
         roster.update(registeredVms, nowNanos);
         slackShare.setGatewayCount(roster.count());
         long unixEpochNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis());
-        shell.setSendSlots(new SendSlots(roster.index(), roster.count(), unixEpochNanos));
+        shell.updates().setSendSlots(new SendSlots(roster.index(), roster.count(), unixEpochNanos));
         Duration uptime = Duration.ofNanos(nowNanos - startNanos);
-        shell.setTurnOrder(TurnOrder.of(roster.index(), roster.count(), knownPeers + 1, unixEpochNanos, uptime));
+        shell.updates()
+                .setTurnOrder(TurnOrder.of(roster.index(), roster.count(), knownPeers + 1, unixEpochNanos, uptime));
     }
 
     private void resignIfPossible() {
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayMetrics.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayMetrics.java
@@ -37,6 +37,7 @@
     private final Gauge versionGauge;
     private final Gauge responseBytesGauge;
     private final Gauge evacuatedZonesGauge;
+    private final StartupMetrics startupMetrics;
     private final SendMonitor sendMonitor;
     private final ColdReports coldReports;
 
@@ -76,6 +77,7 @@
                 gauge(registry, "citrontide_gateway_response_bytes", "Memory for incomplete responses in bytes");
         evacuatedZonesGauge =
                 gauge(registry, "citrontide_gateway_evacuated_zones", "Zones whose upstreams get no requests by order");
+        startupMetrics = new StartupMetrics(registry);
         sendMonitor = new SendMonitor(registry);
         coldReports = new ColdReports(registry);
     }
@@ -88,6 +90,10 @@
         return sendMonitor;
     }
 
+    StartupMetrics startupMetrics() {
+        return startupMetrics;
+    }
+
     void recordFirstByte(String team, int rank, long nanos) {
         firstByteSeconds.labelValues(teams.label(team), Integer.toString(rank)).observe(nanos / NANOS_PER_SECOND);
     }
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
@@ -17,16 +16,13 @@
 import org.citrontide.core.gateway.GatewayEvent;
 import org.citrontide.core.gateway.GatewayRequest;
 import org.citrontide.core.gateway.ResponseMemory;
-import org.citrontide.core.gateway.SendSlots;
 import org.citrontide.core.gateway.StopSchedule;
-import org.citrontide.core.locality.EvacuationTracker;
 import org.citrontide.core.quarantine.CrashEvidence;
 import org.citrontide.core.routes.ListedUpstream;
 import org.citrontide.core.routes.Route;
 import org.citrontide.core.routes.RoutingTable;
 import org.citrontide.core.verdict.Reason;
 import org.citrontide.core.verdict.Verdict;
-import org.citrontide.core.warmup.TurnOrder;
 import org.citrontide.gateway.caller.CallerListener;
 import org.citrontide.gateway.caller.CallerRequest;
 import org.citrontide.gateway.filter.RequestHead;
@@ -60,8 +56,10 @@
     private final GatewayRequestFactory requestFactory;
     private final GatewayMetrics metrics;
     private final ColdReports coldReports;
+    private final EventLoop loop;
+    private final StartupRequests startupRequests;
     private final RequestLog log = new RequestLog();
-    private final EvacuationTracker evacuations = new EvacuationTracker();
+    private final DispatchUpdates updates;
     private final Map<Long, OpenExchange> openById = new HashMap<>();
     private final Map<Long, OpenExchange> openByAttempt = new HashMap<>();
     private final Map<CallerRequest, Long> idByRequest = new HashMap<>();
@@ -95,6 +93,9 @@
         this.requestFactory = new GatewayRequestFactory(random);
         this.metrics = metrics;
         this.coldReports = metrics.coldReports();
+        this.updates = new DispatchUpdates(this::handle, log, metrics);
+        this.loop = loop;
+        this.startupRequests = new StartupRequests(random, metrics.startupMetrics(), System.nanoTime());
         Runnable tick = new GuardedTask("dispatch-tick", this::tick);
         loop.scheduleAtFixedRate(tick, TICK.toMillis(), TICK.toMillis(), TimeUnit.MILLISECONDS);
         metrics.scheduleRetryBudgets(loop, () -> dispatcher.retryBudgets(System.nanoTime()));
@@ -108,6 +109,7 @@
      */
     public void startStop(StopSchedule schedule) {
         stopSchedule = Optional.of(schedule);
+        startupRequests.pollForStop().forEach(held -> refuseEarly(held.caller(), Reason.DRAINING, held.arrivedNanos()));
     }
 
     /**
@@ -125,7 +127,7 @@
      * @return number of open requests
      */
     public int openRequests() {
-        return openById.size();
+        return openById.size() + startupRequests.size();
     }
 
     /**
@@ -136,61 +138,29 @@
     public void setRoutingTable(RoutingTable newTable) {
         table = newTable;
         handle(new GatewayEvent.ColdRulesUpdated(newTable.coldRules()));
-    }
-
-    /**
-     * Updates the list of upstreams.
-     *
-     * @param upstreams all usable upstreams
-     */
-    public void updateUpstreams(List<ListedUpstream> upstreams) {
-        speeds.retain(upstreams);
-        handle(new GatewayEvent.UpstreamsUpdated(upstreams));
-    }
-
-    /**
-     * Updates the groups of the upstreams.
-     *
-     * @param groupByUpstream name of the group, unique among all services, by the identity of the upstream
-     */
-    public void updateGroups(Map<String, String> groupByUpstream) {
-        handle(new GatewayEvent.GroupsUpdated(groupByUpstream));
-    }
-
-    /**
-     * Updates the evacuated zones, whose upstreams get no requests.
-     *
-     * @param zones names of all evacuated zones
-     */
-    public void updateEvacuatedZones(Set<String> zones) {
-        EvacuationTracker.Change change = evacuations.replace(zones);
-        if (change.isEmpty()) {
-            return;
-        }
-        log.logEvacuations(change);
-        metrics.recordEvacuatedZones(zones.size());
-        if (!change.returned().isEmpty()) {
-            handle(new GatewayEvent.ZonesReturned(change.returned()));
+        if (startupRequests.size() > 0) {
+            // The upstreams and the evacuated zones of the same read are passed on after the configuration.
+            loop.execute(new GuardedTask("startup-release", this::releaseStartupRequests));
         }
-        handle(new GatewayEvent.EvacuatedZonesUpdated(zones));
     }
 
     /**
-     * Sets when this gateway may send to upstreams with a rate limit.
+     * Returns what passes changes of the shared state on to the dispatcher.
      *
-     * @param slots the slots of all gateways
+     * @return the updates, confined to the event loop
      */
-    public void setSendSlots(SendSlots slots) {
-        handle(new GatewayEvent.SlotsUpdated(slots));
+    public DispatchUpdates updates() {
+        return updates;
     }
 
     /**
-     * Sets the order in which the gateways take turns at cold upstreams.
+     * Updates the list of upstreams.
      *
-     * @param order the order
+     * @param upstreams all usable upstreams
      */
-    public void setTurnOrder(TurnOrder order) {
-        handle(new GatewayEvent.TurnsUpdated(order));
+    public void updateUpstreams(List<ListedUpstream> upstreams) {
+        speeds.retain(upstreams);
+        handle(new GatewayEvent.UpstreamsUpdated(upstreams));
     }
 
     /**
@@ -202,15 +172,6 @@
         crashEvidence = Optional.of(store);
     }
 
-    /**
-     * Updates the evidence of all gateways on crashes.
-     *
-     * @param evidence all observations
-     */
-    public void updateCrashEvidence(List<CrashEvidence> evidence) {
-        handle(new GatewayEvent.CrashEvidenceUpdated(evidence));
-    }
-
     @Override
     public boolean isStopping() {
         return stopSchedule.isPresent();
@@ -218,23 +179,54 @@
 
     @Override
     public void requestArrived(CallerRequest request) {
+        acceptRequest(request, System.nanoTime());
+    }
+
+    /** Dispatches a request that arrived at the given time, keeps it until it can be checked, or refuses it. */
+    private void acceptRequest(CallerRequest request, long arrivedNanos) {
         long now = System.nanoTime();
         RequestHead head = new RequestHead(request.target(), request.headers(), table);
         Optional<Reason> refusal = requestFactory.findRefusal(request, head, stopSchedule, now);
         if (refusal.isPresent()) {
-            Verdict verdict = new Verdict.NotRun(refusal.get(), TICK);
-            log.logFilterRefusal(request, table.version(), verdict);
-            Refusals.send(request, verdict);
+            boolean canWait = refusal.get() == Reason.NOT_READY && stopSchedule.isEmpty();
+            if (!canWait || !startupRequests.tryHold(request, now)) {
+                refuseEarly(request, refusal.get(), arrivedNanos);
+            }
             return;
         }
-        GatewayRequest gatewayRequest = requestFactory.create(request, head, now);
+        GatewayRequest gatewayRequest = requestFactory.create(request, head, arrivedNanos);
         openById.put(gatewayRequest.id(), new OpenExchange(request, gatewayRequest));
         idByRequest.put(request, gatewayRequest.id());
         handle(new GatewayEvent.RequestArrived(gatewayRequest));
     }
 
+    private void refuseEarly(CallerRequest request, Reason reason, long arrivedNanos) {
+        Duration retryAfter = reason == Reason.NOT_READY
+                ? startupRequests.retryAfter(request, arrivedNanos, System.nanoTime())
+                : TICK;
+        Verdict verdict = new Verdict.NotRun(reason, retryAfter);
+        log.logFilterRefusal(request, table.version(), verdict);
+        Refusals.send(request, verdict);
+    }
+
+    /** Handles a request that arrived when the configured limit on bodies was not known yet. */
+    private void releaseStartupRequest(StartupRequests.Held held) {
+        if (held.caller().bodyLength() > table.limits().bodyBytes()) {
+            refuseEarly(held.caller(), Reason.BODY_TOO_LARGE, held.arrivedNanos());
+        } else {
+            acceptRequest(held.caller(), held.arrivedNanos());
+        }
+    }
+
+    private void releaseStartupRequests() {
+        for (StartupRequests.Held held : startupRequests.release(System.nanoTime())) {
+            new GuardedTask("startup-request", () -> releaseStartupRequest(held)).run();
+        }
+    }
+
     @Override
     public void callerDisconnected(CallerRequest request) {
+        startupRequests.remove(request);
         Long id = idByRequest.remove(request);
         if (id == null) {
             return;
@@ -270,7 +262,7 @@
         }
     }
 
-    /** Sends complete events to the caller, and coldReports the progress of the attempt. */
+    /** Sends complete events to the caller, and reports the progress of the attempt. */
     private void forwardEvents(OpenExchange exchange, UpstreamAttempt attempt, byte[] events) {
         if (events.length == 0 && exchange.eventMerger.isBroken()) {
             return;
@@ -313,30 +305,19 @@
         if (exchange == null) {
             return;
         }
-        boolean isTruncated = outcome instanceof AttemptOutcome.Completed && isTruncated(exchange, attempt);
+        boolean isTruncated = outcome instanceof AttemptOutcome.Completed && exchange.isTruncated(attempt);
         AttemptOutcome finalOutcome = isTruncated ? new AttemptOutcome.Broken(Reason.ANSWER_BROKEN) : outcome;
         openByAttempt.remove(attempt.number());
         log.logAttemptEnd(exchange, attempt, finalOutcome);
         handle(new GatewayEvent.AttemptEnded(attempt.number(), finalOutcome));
     }
 
-    /**
-     * Returns whether a streamed response ended within an event, or without any event and any sign of its end: if it
-     * has no length, an upstream that breaks off can't be distinguished from one that has finished.
-     */
-    private static boolean isTruncated(OpenExchange exchange, UpstreamAttempt attempt) {
-        Optional<ResponseHead> head = attempt.head();
-        if (head.isEmpty()) {
-            return false;
-        }
-        boolean isEmpty = attempt.isStreamed() && !exchange.eventMerger.hasEvents();
-        return !exchange.eventMerger.isAtEventBoundary()
-                || isEmpty && !head.get().hasLength();
-    }
-
     private void tick() {
         handle(new GatewayEvent.Tick());
-        metrics.recordState(openById.size(), table.version(), responseMemory.usedBytes());
+        startupRequests
+                .pollOverdue(System.nanoTime())
+                .forEach(held -> refuseEarly(held.caller(), Reason.NOT_READY, held.arrivedNanos()));
+        metrics.recordState(openRequests(), table.version(), responseMemory.usedBytes());
     }
 
     private OpenExchange findExchange(UpstreamAttempt attempt) {
