Weigh reads of expert counts and changes of maps against their price

The leader read the counts of two ranks every 250 to 700 ms and changed maps for gains that make no stream late or on time. ControlBudget decides by prices in time of a rank whether a read or a change is worth it. It takes effect only with prices in [map_control]; near the target gap the thresholds decide as before.

mvn -pl core test -Dtest='org.citrontide.core.expertmap.*Test' passes.

--- a/core/src/main/java/org/citrontide/core/expertmap/DemandEstimator.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/DemandEstimator.java
@@ -103,6 +103,16 @@
         return hasShifted;
     }
 
+    /** Returns true if the last update differed from the estimate as after a shift, which the next one may confirm. */
+    boolean isShiftSuspected() {
+        return isShiftSuspected;
+    }
+
+    /** Returns the part of the selections by which two samples usually differ, 0 if that is not known yet. */
+    double usualDifference() {
+        return sampleDistance.isKnown() ? sampleDistance.value() : 0;
+    }
+
     /** Returns the number of expert selections that the last update used. */
     long selections() {
         return selections;
--- a/core/src/main/java/org/citrontide/core/expertmap/DemandSampler.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/DemandSampler.java
@@ -12,17 +12,19 @@
  */
 final class DemandSampler {
     // Each read pauses the group for a few milliseconds.
-    private static final int SAMPLED_RANKS = 2;
+    static final int SAMPLED_RANKS = 2;
     // Bounds of the time after which the counts are read again to find out whether a pass has started.
     private static final Duration MIN_PASS_WAIT = Duration.ofMillis(40);
     private static final Duration MAX_PASS_WAIT = Duration.ofMillis(250);
 
     private final Set<String> pending = new HashSet<>();
     private long nextReadNanos;
+    private int nextSampled;
 
     /** Discards the reads in flight: their responses are ignored. */
     void clear() {
         pending.clear();
+        nextSampled = 0;
     }
 
     boolean isDue(long nowNanos) {
@@ -39,11 +41,15 @@
         nextReadNanos = nowNanos + Math.clamp(wait, MIN_PASS_WAIT.toNanos(), MAX_PASS_WAIT.toNanos());
     }
 
-    /** Requests the reads of the counts of the sampled ranks, unless they are in flight. */
-    void requestReads(List<String> ranks, EventContext context) {
-        int count = Math.min(SAMPLED_RANKS, ranks.size());
-        for (int i = 0; i < count; i++) {
-            String id = ranks.get(i * ranks.size() / count);
+    /**
+     * Requests the reads of the counts of the sampled ranks, unless they are in flight. If fewer than all of them are
+     * to be read, they take turns.
+     */
+    void requestReads(List<String> ranks, int count, EventContext context) {
+        int sampled = Math.min(SAMPLED_RANKS, ranks.size());
+        for (int i = 0; i < Math.min(count, sampled); i++) {
+            String id = ranks.get(nextSampled * ranks.size() / sampled);
+            nextSampled = (nextSampled + 1) % sampled;
             if (pending.add(id)) {
                 context.add(new MapAction.ReadCounts(id));
             }
--- a/core/src/main/java/org/citrontide/core/expertmap/GroupMap.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/GroupMap.java
@@ -99,18 +99,43 @@
     public int maxNewExpertsPerRank(GroupMap from) {
         int most = 0;
         for (int r = 0; r < sets.getFirst().experts().length; r++) {
-            int sum = 0;
-            for (int s = 0; s < sets.size(); s++) {
-                int[] old = from.sets.get(s).experts()[r];
-                for (int e : sets.get(s).experts()[r]) {
-                    sum += contains(old, e) ? 0 : 1;
-                }
-            }
-            most = Math.max(most, sum);
+            most = Math.max(most, newExpertsOfRank(from, r));
         }
         return most;
     }
 
+    /**
+     * Returns the number of experts that all ranks together must copy to switch to this map.
+     *
+     * @param from map in force
+     * @return sum over the ranks and sets
+     */
+    public int newExperts(GroupMap from) {
+        int sum = 0;
+        for (int r = 0; r < sets.getFirst().experts().length; r++) {
+            sum += newExpertsOfRank(from, r);
+        }
+        return sum;
+    }
+
+    /**
+     * Returns the number of experts, summed over the sets, that a rank must copy to switch to this map.
+     *
+     * @param from map in force
+     * @param rank index of the rank
+     * @return number of experts
+     */
+    public int newExpertsOfRank(GroupMap from, int rank) {
+        int sum = 0;
+        for (int s = 0; s < sets.size(); s++) {
+            int[] old = from.sets.get(s).experts()[rank];
+            for (int e : sets.get(s).experts()[rank]) {
+                sum += contains(old, e) ? 0 : 1;
+            }
+        }
+        return sum;
+    }
+
     private static boolean contains(int[] list, int e) {
         for (int x : list) {
             if (x == e) {
--- a/core/src/main/java/org/citrontide/core/expertmap/GroupMapController.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/GroupMapController.java
@@ -3,10 +3,8 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
 
 import org.citrontide.core.routes.EngineProfile;
 
@@ -24,8 +22,6 @@
  * <p>Not thread-safe: confined to one thread. It does no I/O and reads no clock.
  */
 final class GroupMapController {
-    // Short, because a new controller knows nothing of the demand until it has read the counts twice.
-    private static final Duration INITIAL_SAMPLE_INTERVAL = Duration.ofMillis(150);
     private static final Duration OBSERVE_INTERVAL = Duration.ofMillis(250);
     // Reports lag by about twice this interval.
     private static final Duration STALE_REPORT_INTERVAL = Duration.ofMillis(100);
@@ -49,6 +45,7 @@
     }
 
     private final EngineProfile profile;
+    private final ControlCosts costs;
     private List<String> members = List.of();
     private boolean isElected;
     private final MapVersionSequence versions;
@@ -58,7 +55,7 @@
     private final DemandSampler sampler = new DemandSampler();
     private final Set<String> pendingReads = new HashSet<>();
     private final GroupReports reports = new GroupReports();
-    private final Map<Integer, int[][]> expertsByRank = new TreeMap<>();
+    private final ExpertReads expertReads;
     private List<String> ranks = List.of();
     private int epoch;
     private int newestSeenEpoch;
@@ -86,9 +83,12 @@
      *
      * @param profile sizes and speeds of the engines of the service
      * @param versions versions of the maps, shared with the controllers of other groups of the service
+     * @param costs prices of reads, orders and copies
      */
-    GroupMapController(EngineProfile profile, MapVersionSequence versions) {
+    GroupMapController(EngineProfile profile, MapVersionSequence versions, ControlCosts costs) {
         this.profile = profile;
+        this.costs = costs;
+        this.expertReads = new ExpertReads(profile.expertsPerSet());
         this.versions = versions;
     }
 
@@ -203,8 +203,12 @@
             recordSpeed(read.upstream(), report);
             loadSummary.record(read.upstream(), report).ifPresent(detail -> context.log("group-load", detail));
         });
-        if (isIdle() && read.upstream().equals(ranks.getFirst())) {
-            checkForNewPass(read, context);
+        if (!ranks.isEmpty() && read.upstream().equals(ranks.getFirst())) {
+            Optional<RankReport> own = read.report().filter(r -> r.isOpen() && r.epoch() == epoch);
+            rebalancePolicy.ifPresent(p -> p.budget().recordReport(own, targetGap, context.nowNanos()));
+            if (isIdle()) {
+                checkForNewPass(read, context);
+            }
         }
         if (phase != Phase.OBSERVING || !pendingReads.remove(read.upstream())) {
             return;
@@ -233,14 +237,10 @@
     private void recordSpeed(String upstream, RankReport r) {
         int rank = ranks.indexOf(upstream);
         if (rank >= 0 && r.epoch() == epoch) {
-            rebalancePolicy.ifPresent(p -> p.updateRankSpeed(rank, speed(r)));
+            rebalancePolicy.ifPresent(p -> p.updateRankSpeed(rank, r.speed()));
         }
     }
 
-    private static double speed(RankReport r) {
-        return 1 / Math.max(1, r.slowness());
-    }
-
     /** Evaluates a full round of reports: looks for a complete group and for a change that was left unfinished. */
     private void evaluateReports(EventContext context) {
         Optional<List<String>> completeGroup = reports.completeGroup();
@@ -287,7 +287,7 @@
         ranks = ids;
         sampler.clear();
         RankReport first = reports.of(ids.getFirst());
-        double[] speeds = ids.stream().mapToDouble(id -> speed(reports.of(id))).toArray();
+        double[] speeds = ids.stream().mapToDouble(id -> reports.of(id).speed()).toArray();
         passEstimator.reset(first.step(), context.nowNanos());
         inForceStep = 0;
         if (first.epoch() != epoch) {
@@ -295,14 +295,14 @@
             current = Optional.empty();
             rebalancePolicy.ifPresent(RebalancePolicy::resetCounters);
         }
-        rebalancePolicy = rebalancePolicy.or(() -> Optional.of(new RebalancePolicy(profile, context.nowNanos())));
+        rebalancePolicy =
+                rebalancePolicy.or(() -> Optional.of(new RebalancePolicy(profile, costs, context.nowNanos())));
         rebalancePolicy.get().setRankSpeeds(speeds);
     }
 
     private void readExperts(EventContext context) {
         enterPhase(Phase.READING_EXPERTS, context);
-        expertsByRank.clear();
-        ranks.forEach(id -> context.add(new MapAction.ReadExperts(id)));
+        expertReads.request(ranks, context);
     }
 
     private void handleExperts(MapEvent.ExpertsRead read, EventContext context) {
@@ -314,10 +314,9 @@
             startObserving(OBSERVE_INTERVAL, context);
             return;
         }
-        expertsByRank.put(rank, read.experts().get());
-        if (expertsByRank.size() == ranks.size()) {
-            current = Optional.of(
-                    GroupMap.fromRanks(read.version(), List.copyOf(expertsByRank.values()), profile.expertsPerSet()));
+        Optional<GroupMap> complete = expertReads.add(rank, read.experts().get(), read.version(), ranks.size());
+        if (complete.isPresent()) {
+            current = complete;
             startSampling(context);
         }
     }
@@ -332,25 +331,24 @@
         if (!isElected || !sampler.isDue(context.nowNanos())) {
             return;
         }
-        Duration interval = rebalancePolicy.orElseThrow().hasDemandEstimate()
-                ? rebalanceParameters().sampleInterval()
-                : INITIAL_SAMPLE_INTERVAL;
-        sampler.schedule(interval, context.nowNanos());
+        RebalancePolicy policy = rebalancePolicy.orElseThrow();
+        sampler.schedule(policy.decisionInterval(context.nowNanos()), context.nowNanos());
         if (isIdle()) {
             context.add(new MapAction.ReadReport(ranks.getFirst()));
             return;
         }
         if (phase == Phase.SAMPLING && context.nowNanos() >= nextSpeedReadNanos) {
             nextSpeedReadNanos =
-                    context.nowNanos() + rebalanceParameters().speedInterval().toNanos();
+                    context.nowNanos() + policy.parameters().speedInterval().toNanos();
             loadSummary.start(ranks, profile.slots());
             ranks.forEach(id -> context.add(new MapAction.ReadReport(id)));
         }
-        sampler.requestReads(ranks, context);
-    }
-
-    private RebalanceParameters rebalanceParameters() {
-        return rebalancePolicy.orElseThrow().parameters();
+        boolean isRequired = passEstimator.lastStep() < inForceStep || phase == Phase.CHANGING || failedReads > 0;
+        int count = policy.ranksToRead(isRequired, context);
+        sampler.requestReads(ranks, count, context);
+        if (count == 0) {
+            context.add(new MapAction.ReadReport(ranks.getFirst()));
+        }
     }
 
     private void handleCounts(MapEvent.CountsRead read, EventContext context) {
@@ -434,7 +432,7 @@
             return;
         }
         Optional<MapAction.SearchMap> search =
-                rebalancePolicy.orElseThrow().nextSearch(current.orElseThrow(), versions.peek());
+                rebalancePolicy.orElseThrow().nextSearch(current.orElseThrow(), versions.peek(), context.nowNanos());
         if (search.isPresent()) {
             versions.advance();
             enterPhase(Phase.SEARCHING, context);
@@ -463,7 +461,7 @@
         }
         RebalancePolicy policy = rebalancePolicy.orElseThrow();
         GroupMap from = current.orElseThrow();
-        if (!policy.isWorthwhile(map, from)) {
+        if (!policy.paysOff(map, from, context)) {
             startSampling(context);
             return;
         }
--- a/core/src/main/java/org/citrontide/core/expertmap/RankReport.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/RankReport.java
@@ -32,4 +32,10 @@
         OptionalLong heldStep,
         double slowness,
         int running,
-        int waiting) {}
+        int waiting) {
+
+    /** Returns the speed of the rank relative to a healthy rank, at most 1. */
+    double speed() {
+        return 1 / Math.max(1, slowness);
+    }
+}
--- a/core/src/main/java/org/citrontide/core/expertmap/RebalancePolicy.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/RebalancePolicy.java
@@ -18,17 +18,23 @@
     // Demand may shift every two seconds, and a map found earlier rarely fits it after that. A smaller change that is
     // in force sooner is followed by another one.
     private static final Duration MAX_COPY_TIME = Duration.ofMillis(900);
+    // Short, because a new controller knows nothing of the demand until it has read the counts twice.
+    private static final Duration INITIAL_SAMPLE_INTERVAL = Duration.ofMillis(150);
     private static final double MIN_SPEED_CHANGE = 0.1;
     private static final Duration STEADY_AFTER = Duration.ofSeconds(8);
 
     private final EngineProfile profile;
     private final DemandEstimator demand;
+    private final ControlBudget budget;
     private double[] speeds = new double[0];
     private long lastShiftNanos;
     private boolean isEvaluationDue;
     private RebalanceParameters parameters;
+    private Duration passTime = Duration.ZERO;
+    private Duration targetGap = Duration.ZERO;
 
-    RebalancePolicy(EngineProfile profile, long nowNanos) {
+    RebalancePolicy(EngineProfile profile, ControlCosts costs, long nowNanos) {
+        this.budget = new ControlBudget(profile, costs, nowNanos);
         this.profile = profile;
         this.demand = new DemandEstimator(profile.expertSets(), profile.expertsPerSet());
         this.lastShiftNanos = nowNanos;
@@ -36,7 +42,9 @@
     }
 
     /** Updates the thresholds from the measured pass time and the target gap between events. */
-    void updatePassTime(Duration passTime, Duration targetGap, long nowNanos) {
+    void updatePassTime(Duration newPassTime, Duration newTargetGap, long nowNanos) {
+        passTime = newPassTime;
+        targetGap = newTargetGap;
         parameters =
                 RebalanceParameters.select(passTime, targetGap, nowNanos - lastShiftNanos > STEADY_AFTER.toNanos());
     }
@@ -53,6 +61,7 @@
     /** Sets the speeds of all ranks relative to a healthy rank. */
     void setRankSpeeds(double[] newSpeeds) {
         speeds = newSpeeds.clone();
+        budget.reset(speeds.length);
     }
 
     /** Updates the speed of one rank; a large change requests a re-evaluation of the map. */
@@ -79,6 +88,20 @@
         return true;
     }
 
+    /** Returns the time after which to decide on a read of counts again. */
+    Duration decisionInterval(long nowNanos) {
+        return demand.hasEstimate()
+                ? budget.decisionInterval(parameters.sampleInterval(), nowNanos)
+                : INITIAL_SAMPLE_INTERVAL;
+    }
+
+    /** Returns the number of ranks whose counts are to be read now, 0 if a read is not worth its price. */
+    int ranksToRead(boolean isRequired, EventContext context) {
+        return demand.hasEstimate() && !isRequired
+                ? budget.ranksToRead(DemandSampler.SAMPLED_RANKS, parameters.sampleInterval(), context)
+                : DemandSampler.SAMPLED_RANKS;
+    }
+
     /** Makes the next call of {@link #nextSearch} evaluate the map even without new counts. */
     void requestEvaluation() {
         isEvaluationDue = demand.hasEstimate();
@@ -86,18 +109,26 @@
 
     /** Updates the demand with the counts recorded since the last update, unless they are too few. */
     void updateDemand(long nowNanos) {
-        if (!demand.update(MIN_SELECTIONS)) {
+        boolean hasNewCounts = demand.update(MIN_SELECTIONS);
+        budget.updatePassTime(passTime, targetGap, nowNanos);
+        if (!hasNewCounts) {
             return;
         }
+        budget.recordSample(demand.hasShifted(), demand.isShiftSuspected(), nowNanos);
         isEvaluationDue = true;
         if (demand.hasShifted()) {
             lastShiftNanos = nowNanos;
         }
     }
 
+    /** Returns the decisions by price, which know the samples and the pass time that this policy was given. */
+    ControlBudget budget() {
+        return budget;
+    }
+
     /** Returns the search for a better map to run now, or empty if the demand is unchanged or the map fits it. */
-    Optional<MapAction.SearchMap> nextSearch(GroupMap current, long newVersion) {
-        if (!isEvaluationDue) {
+    Optional<MapAction.SearchMap> nextSearch(GroupMap current, long newVersion, long nowNanos) {
+        if (!isEvaluationDue || !budget.maySearch(nowNanos)) {
             return Optional.empty();
         }
         isEvaluationDue = false;
@@ -119,8 +150,24 @@
 
     /** Returns true if the map found saves enough expert time per pass to be activated. */
     boolean isWorthwhile(GroupMap found, GroupMap current) {
+        return gain(found, current) >= parameters.minGain();
+    }
+
+    /** Returns true if the map found is worthwhile and saves more than copies, orders and the hold cost. */
+    boolean paysOff(GroupMap found, GroupMap current, EventContext context) {
+        int moved = found.newExperts(current);
+        return isWorthwhile(found, current)
+                && budget.paysOff(
+                        gain(found, current),
+                        demand.usualDifference(),
+                        moved,
+                        found.maxNewExpertsPerRank(current),
+                        context);
+    }
+
+    private double gain(GroupMap found, GroupMap current) {
         List<RankLoads> loads = loads();
-        return 1 - found.passTime(loads) / current.passTime(loads) >= parameters.minGain();
+        return 1 - found.passTime(loads) / current.passTime(loads);
     }
 
     /** Returns the log text for the demand of the last update under the map in force. */
--- a/core/src/main/java/org/citrontide/core/expertmap/ServiceMapController.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/ServiceMapController.java
@@ -29,6 +29,7 @@
     private static final Duration MAX_ASSIGNMENT_DELAY = Duration.ofMillis(300);
 
     private final EngineProfile profile;
+    private final ControlCosts costs;
     private final MapVersionSequence versions = new MapVersionSequence();
     private final GroupDirectory directory = new GroupDirectory();
     private final Map<String, GroupMapController> controllers = new TreeMap<>();
@@ -48,9 +49,11 @@
      * Creates a controller for a service whose groups are unknown.
      *
      * @param profile sizes and speeds of the engines of the service
+     * @param costs prices of reads, orders and copies
      */
-    public ServiceMapController(EngineProfile profile) {
+    public ServiceMapController(EngineProfile profile, ControlCosts costs) {
         this.profile = profile;
+        this.costs = costs;
     }
 
     /**
@@ -162,7 +165,7 @@
     }
 
     private void addController(String group, long nowNanos, List<GroupAction> actions) {
-        GroupMapController c = new GroupMapController(profile, versions);
+        GroupMapController c = new GroupMapController(profile, versions, costs);
         controllers.put(group, c);
         add(group, c.handle(new MapEvent.TargetGapChanged(targetGap), nowNanos), actions);
         term.ifPresent(t -> add(group, c.handle(new MapEvent.Elected(t), nowNanos), actions));
--- a/core/src/test/java/org/citrontide/core/expertmap/FakeGroup.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/FakeGroup.java
@@ -11,7 +11,6 @@
  */
 final class FakeGroup {
     static final int REPORT_LAG_MS = 200;
-    private static final int COPY_MS = 60;
 
     /** State of one rank. */
     private static final class Rank {
@@ -48,6 +47,12 @@
     private int passTimeFactor = 1;
     private int reportLagSpreadMs;
     private String violation = "";
+    private long targetGapMs = Long.MAX_VALUE;
+    private long lastPassMs = -1;
+    private int longPasses;
+    private int movedExperts;
+    private int orders;
+    private int countReads;
 
     /** Creates a group of one set whose demand concentrates on two experts, which change every three seconds. */
     FakeGroup(int size, int experts) {
@@ -82,6 +87,27 @@
         return changes;
     }
 
+    /** Counts the times between two passes that are longer than the gap. */
+    void setTargetGapMs(long ms) {
+        targetGapMs = ms;
+    }
+
+    int longPasses() {
+        return longPasses;
+    }
+
+    int movedExperts() {
+        return movedExperts;
+    }
+
+    int orders() {
+        return orders;
+    }
+
+    int countReads() {
+        return countReads;
+    }
+
     long longestHoldMs() {
         return longestHoldMs;
     }
@@ -153,6 +179,7 @@
 
     MapEvent.ExpertCounts countsOf(int rank) {
         nextPassMs += demand.readPauseMs();
+        countReads++;
         return new MapEvent.ExpertCounts(step, epoch, ranks.get(rank).counts.clone());
     }
 
@@ -164,6 +191,7 @@
 
     /** Carries out an order and returns its outcome. */
     OrderOutcome handleOrder(int rank, int orderEpoch, RankOrder order, long nowMs) {
+        orders++;
         if (orderEpoch != epoch) {
             return OrderOutcome.REFUSED;
         }
@@ -183,7 +211,9 @@
         r.highestVersion = map.version();
         r.copying = Optional.of(map);
         r.prepared = Optional.empty();
-        r.copyEndMs = nowMs + COPY_MS;
+        int moved = map.newExpertsOfRank(r.map, ranks.indexOf(r));
+        movedExperts += moved;
+        r.copyEndMs = nowMs + demand.copyMs(moved);
         return OrderOutcome.DONE;
     }
 
@@ -225,6 +255,8 @@
 
     private void startPass(long nowMs) {
         step++;
+        longPasses += lastPassMs >= 0 && nowMs - lastPassMs > targetGapMs ? 1 : 0;
+        lastPassMs = nowMs;
         for (int i = 0; i < size; i++) {
             Rank r = ranks.get(i);
             if (r.armedStep.isPresent() && r.armedStep.getAsLong() == step) {
@@ -272,7 +304,7 @@
                     r.armedStep.isPresent() ? prepared : OptionalLong.empty(),
                     r.heldStep,
                     i == slowRank ? 5 : 1,
-                    0,
+                    demand.running(),
                     0));
         }
         return list;
--- a/core/src/test/java/org/citrontide/core/expertmap/GroupDemand.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/GroupDemand.java
@@ -17,4 +17,14 @@
 
     /** Returns the time in ms for which a read of the counts of one rank pauses the group. */
     long readPauseMs();
+
+    /** Returns the time in ms in which each rank copies at most the given number of experts. */
+    default long copyMs(int mostNewExperts) {
+        return 60;
+    }
+
+    /** Returns the number of requests that each rank runs. */
+    default int running() {
+        return 0;
+    }
 }
--- a/core/src/test/java/org/citrontide/core/expertmap/MapControllerSimulation.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/MapControllerSimulation.java
@@ -32,6 +32,7 @@
     private final boolean hasFaults;
     private final FakeGroup group;
     private final EngineProfile profile;
+    private final ControlCosts costs;
     private final List<ControllerProcess> processes;
     private final PriorityQueue<ScheduledTask> tasks = new PriorityQueue<>(
             Comparator.comparingLong(ScheduledTask::atMs).thenComparingLong(ScheduledTask::sequence));
@@ -42,6 +43,7 @@
     private long term;
     private int abandonedChanges;
     private int countReads;
+    private final List<String> decisions = new ArrayList<>();
     private boolean duplicatesOrders;
     private long linkFreeMs;
     private int searchSteps = SEARCH_STEPS;
@@ -49,9 +51,15 @@
     private double[] lastSpeeds = new double[0];
 
     MapControllerSimulation(FakeGroup group, EngineProfile profile, long seed, double lossRate, boolean hasFaults) {
+        this(group, profile, seed, lossRate, hasFaults, ControlCosts.NONE);
+    }
+
+    MapControllerSimulation(
+            FakeGroup group, EngineProfile profile, long seed, double lossRate, boolean hasFaults, ControlCosts costs) {
+        this.costs = costs;
         this.group = group;
         this.profile = profile;
-        this.processes = List.of(new ControllerProcess(profile), new ControllerProcess(profile));
+        this.processes = List.of(new ControllerProcess(profile, costs), new ControllerProcess(profile, costs));
         this.random = new SplittableRandom(seed);
         this.lossRate = lossRate;
         this.hasFaults = hasFaults;
@@ -125,7 +133,7 @@
     }
 
     private void kill(ControllerProcess p) {
-        p.controller = new GroupMapController(profile, new MapVersionSequence());
+        p.controller = new GroupMapController(profile, new MapVersionSequence(), costs);
         p.incarnation++;
         p.localLeaseEndMs = -1;
         p.controller.handle(new MapEvent.MembersChanged(members()), nowMs * 1_000_000);
@@ -186,11 +194,26 @@
                     scheduleEvent(process, incarnation, new MapEvent.SearchEnded(p.search(searchSteps)));
                 }
                 case MapAction.SendOrder s -> send(process, incarnation, s);
-                case MapAction.LogEvent n -> abandonedChanges += n.event().equals("map-change-abandoned") ? 1 : 0;
+                case MapAction.LogEvent n -> recordLog(n);
             }
         }
     }
 
+    private void recordLog(MapAction.LogEvent n) {
+        abandonedChanges += n.event().equals("map-change-abandoned") ? 1 : 0;
+        if (n.event().equals("map-control")) {
+            decisions.add(nowMs + " " + n.detail());
+        }
+        if (Boolean.getBoolean("sim.log")) {
+            System.out.println(nowMs + " " + n.event() + " " + n.detail());
+        }
+    }
+
+    /** Returns the log texts of the decisions by cost, each with its time in ms. */
+    List<String> decisions() {
+        return decisions;
+    }
+
     private void send(int process, int incarnation, MapAction.SendOrder s) {
         int rank = rankOf(s.upstream());
         int bytes = sizeOf(s.order());
@@ -295,8 +318,8 @@
         private long localLeaseEndMs = -1;
         private int incarnation;
 
-        private ControllerProcess(EngineProfile profile) {
-            controller = new GroupMapController(profile, new MapVersionSequence());
+        private ControllerProcess(EngineProfile profile, ControlCosts costs) {
+            controller = new GroupMapController(profile, new MapVersionSequence(), costs);
         }
     }
 }
--- a/core/src/test/java/org/citrontide/core/expertmap/ServiceMapControllerTest.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/ServiceMapControllerTest.java
@@ -90,7 +90,7 @@
 
     @Test
     void upstreamThatReportsAnotherGroupMovesThere() {
-        ServiceMapController controller = new ServiceMapController(PROFILE);
+        ServiceMapController controller = new ServiceMapController(PROFILE, ControlCosts.NONE);
         controller.handle(new MapEvent.MembersChanged(List.of("a", "b")), 0);
         controller.handle(new MapEvent.Elected(1), 0);
         controller.handleResult(ServiceMapController.DISCOVERY, reportOf("a", "g1"), 0);
@@ -102,7 +102,7 @@
 
     @Test
     void upstreamThatIsNoLongerListedBelongsToNoGroup() {
-        ServiceMapController controller = new ServiceMapController(PROFILE);
+        ServiceMapController controller = new ServiceMapController(PROFILE, ControlCosts.NONE);
         controller.handle(new MapEvent.MembersChanged(List.of("a")), 0);
         controller.handle(new MapEvent.Elected(1), 0);
         controller.handleResult(ServiceMapController.DISCOVERY, reportOf("a", "g1"), 0);
--- a/core/src/test/java/org/citrontide/core/expertmap/ServiceMapSimulation.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/ServiceMapSimulation.java
@@ -37,8 +37,13 @@
     private long nowMs;
 
     ServiceMapSimulation(List<FakeGroup> groups, EngineProfile profile, long seed, double lossRate) {
+        this(groups, profile, seed, lossRate, ControlCosts.NONE);
+    }
+
+    ServiceMapSimulation(
+            List<FakeGroup> groups, EngineProfile profile, long seed, double lossRate, ControlCosts costs) {
         this.groups = groups;
-        this.controller = new ServiceMapController(profile);
+        this.controller = new ServiceMapController(profile, costs);
         this.random = new SplittableRandom(seed);
         this.lossRate = lossRate;
         handle(new MapEvent.MembersChanged(members()));
--- a/core/src/test/java/org/citrontide/core/expertmap/ShiftingDemand.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/ShiftingDemand.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 
 import org.citrontide.core.routes.EngineProfile;
@@ -25,7 +26,20 @@
     private static final int EVENTS_PER_REQUEST = 23;
     private static final double PAUSE_MS_PER_COUNT = 0.5 / 400;
 
+    /**
+     * How the demand develops.
+     *
+     * @param shiftTimesMs times at which the demand shifts to other experts, ascending
+     * @param shiftedFraction probability that an expert exchanges its popularity at a shift
+     * @param running requests that each rank runs outside of bursts
+     * @param burstPeriodMs time between the starts of two bursts that fill all slots, 0 for none
+     */
+    record Course(List<Integer> shiftTimesMs, double shiftedFraction, int running, int burstPeriodMs) {}
+
+    private static final int BURST_MS = 4000;
+
     private final EngineProfile profile;
+    private final Optional<Course> course;
     private final SplittableRandom random;
     private final double[] speeds;
     private final int[][] topicsByRank;
@@ -35,9 +49,21 @@
 
     private List<RankLoads> loads;
     private long shifts;
+    private int running;
 
     ShiftingDemand(EngineProfile profile, int ranks, long seed) {
+        this(profile, ranks, seed, Optional.empty());
+    }
+
+    /** Creates demand with a course; only the ranks that the controller samples count their selections. */
+    ShiftingDemand(EngineProfile profile, int ranks, long seed, Course course) {
+        this(profile, ranks, seed, Optional.of(course));
+    }
+
+    private ShiftingDemand(EngineProfile profile, int ranks, long seed, Optional<Course> course) {
         this.profile = profile;
+        this.course = course;
+        this.running = course.map(Course::running).orElse(profile.slots());
         this.random = new SplittableRandom(seed);
         this.speeds = new double[ranks];
         Arrays.fill(speeds, 1);
@@ -68,11 +94,12 @@
         shiftIfDue(nowMs);
         int[] topics = topicsByRank[rank];
         newPromptsByRank[rank] = 0;
-        for (int i = 0; i < topics.length; i++) {
-            addTokens(topics[i], profile.stepsPerPass(), counts);
+        boolean isCounted = course.isEmpty() || rank == 0 || rank == topicsByRank.length / 2;
+        for (int i = 0; i < running; i++) {
+            addTokens(topics[i], isCounted ? profile.stepsPerPass() : 0, counts);
             if (random.nextInt(EVENTS_PER_REQUEST) == 0) {
                 topics[i] = random.nextInt(TOPICS);
-                addTokens(topics[i], profile.meanPromptTokens(), counts);
+                addTokens(topics[i], isCounted ? profile.meanPromptTokens() : 0, counts);
                 newPromptsByRank[rank]++;
             }
         }
@@ -81,7 +108,7 @@
     @Override
     public long passMs(GroupMap map, boolean isCopying, long nowMs) {
         shiftIfDue(nowMs);
-        double decodeMs = profile.stepsPerPass() * (profile.stepMs() + profile.stepMsPerSequence() * profile.slots());
+        double decodeMs = profile.stepsPerPass() * (profile.stepMs() + profile.stepMsPerSequence() * running);
         double maxPrefillMs = prefillMs(Arrays.stream(newPromptsByRank).max().orElse(0));
         double meanPrefillMs =
                 prefillMs(Arrays.stream(newPromptsByRank).average().orElse(0));
@@ -95,6 +122,18 @@
         return Math.round(PAUSE_MS_PER_COUNT * sets() * expertsPerSet());
     }
 
+    @Override
+    public long copyMs(int mostNewExperts) {
+        return course.isEmpty()
+                ? GroupDemand.super.copyMs(mostNewExperts)
+                : profile.expertCopyTime(mostNewExperts).toMillis();
+    }
+
+    @Override
+    public int running() {
+        return running;
+    }
+
     /** Returns the true loads of each set at a time that is not earlier than that of any previous call. */
     List<RankLoads> loadsAt(long nowMs) {
         shiftIfDue(nowMs);
@@ -128,13 +167,21 @@
     }
 
     private void shiftIfDue(long nowMs) {
-        if (nowMs / SHIFT_PERIOD_MS == shifts) {
+        if (course.isPresent() && course.get().burstPeriodMs() > 0) {
+            int period = course.get().burstPeriodMs();
+            boolean isBurst = nowMs >= period && nowMs % period < BURST_MS;
+            running = isBurst ? profile.slots() : course.get().running();
+        }
+        long due = course.map(
+                        c -> c.shiftTimesMs().stream().filter(t -> t <= nowMs).count())
+                .orElse(nowMs / SHIFT_PERIOD_MS);
+        if (due == shifts) {
             return;
         }
-        shifts = nowMs / SHIFT_PERIOD_MS;
+        shifts = due;
         for (double[][] byTopic : popularity) {
             for (int e = 0; e < expertsPerSet(); e++) {
-                if (random.nextDouble() < SHIFTED_FRACTION) {
+                if (random.nextDouble() < course.map(Course::shiftedFraction).orElse(SHIFTED_FRACTION)) {
                     int other = random.nextInt(expertsPerSet());
                     int expert = e;
                     Arrays.stream(byTopic).forEach(p -> swap(p, expert, other));
@@ -156,7 +203,7 @@
     }
 
     private void addTokens(int topic, int tokens, long[] counts) {
-        for (int s = 0; s < popularity.length; s++) {
+        for (int s = 0; s < popularity.length && tokens > 0; s++) {
             double[] p = popularity[s][topic];
             for (int e = 0; e < p.length; e++) {
                 counts[s * p.length + e] +=
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
@@ -80,7 +80,8 @@
                 PlatformClient.forEngines(loop),
                 loop,
                 leaderElection::checkLease,
-                new OrderTimeouts(settings.linkMegabitsPerSecond()));
+                new OrderTimeouts(settings.linkMegabitsPerSecond()),
+                settings.controlCosts());
     }
 
     void start() {
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewaySettings.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewaySettings.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.citrontide.core.expertmap.ControlCosts;
 import org.citrontide.core.toml.TomlSection;
 import org.citrontide.core.toml.ValidationResult;
 import org.citrontide.runtime.settings.ProcessSettings;
@@ -28,6 +29,7 @@
  * @param retrySlack retries per window allowed to all gateways together, regardless of the number of requests
  * @param maxTeamLabels maximum number of teams that have their own metric labels
  * @param responseMemoryBytes maximum memory in bytes for incomplete responses of upstreams
+ * @param controlCosts prices of reads of expert counts, orders and copies; without prices, thresholds alone decide
  */
 public record GatewaySettings(
         String vm,
@@ -45,7 +47,8 @@
         Duration retryWindow,
         int retrySlack,
         int maxTeamLabels,
-        long responseMemoryBytes) {
+        long responseMemoryBytes,
+        ControlCosts controlCosts) {
     private static final int MAX_CONNECTIONS = 100_000;
     private static final int DEFAULT_CONNECTIONS = 2000;
     private static final double MIN_LINK_MBPS = 0.1;
@@ -105,6 +108,7 @@
         int slack = root.integer("repeat_slack", 0, MAX_SLACK, DEFAULT_SLACK);
         int labels = root.integer("max_team_labels", 0, MAX_LABELS, DEFAULT_LABELS);
         int responseMemory = root.integer("response_memory_kb", 1, MAX_RESPONSE_MEMORY_KB, defaultResponseMemoryKb());
+        ControlCosts costs = ControlCostSettings.read(root);
         return root.finish(() -> new GatewaySettings(
                 vm,
                 zone,
@@ -121,7 +125,8 @@
                 window,
                 slack,
                 labels,
-                (long) responseMemory * BYTES_PER_KB));
+                (long) responseMemory * BYTES_PER_KB,
+                costs));
     }
 
     /** Reads the time limit of a stop, which ends before the process is killed. */
--- a/gateway/src/main/java/org/citrontide/gateway/maps/MapControllerShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/maps/MapControllerShell.java
@@ -13,6 +13,7 @@
 import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
+import org.citrontide.core.expertmap.ControlCosts;
 import org.citrontide.core.expertmap.MapAction;
 import org.citrontide.core.expertmap.MapEvent;
 import org.citrontide.core.expertmap.OrderOutcome;
@@ -57,6 +58,7 @@
     private Map<String, ListedUpstream> upstreams = Map.of();
     private final Runnable leaseCheck;
     private final OrderTimeouts orderTimeouts;
+    private final ControlCosts controlCosts;
     private Optional<Long> term = Optional.empty();
 
     /**
@@ -67,13 +69,20 @@
      * @param leaseCheck calls {@link #deposed} if the lease is no longer valid; run before each event, because the
      *     process may have been suspended just before it
      * @param orderTimeouts determines how long a response to an order is awaited
+     * @param controlCosts prices of reads, orders and copies
      */
-    public MapControllerShell(PlatformClient client, EventLoop loop, Runnable leaseCheck, OrderTimeouts orderTimeouts) {
+    public MapControllerShell(
+            PlatformClient client,
+            EventLoop loop,
+            Runnable leaseCheck,
+            OrderTimeouts orderTimeouts,
+            ControlCosts controlCosts) {
         this.client = client;
         this.reports = new ReportReader(client);
         this.loop = loop;
         this.leaseCheck = leaseCheck;
         this.orderTimeouts = orderTimeouts;
+        this.controlCosts = controlCosts;
     }
 
     /**
@@ -150,7 +159,7 @@
         if (profile.equals(profiles.put(service, profile))) {
             return;
         }
-        controllers.put(service, new ServiceMapController(profile));
+        controllers.put(service, new ServiceMapController(profile, controlCosts));
         term.ifPresent(t -> handle(service, new MapEvent.Elected(t)));
         updateMembers(service);
     }
--- a/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
@@ -10,6 +10,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 
+import org.citrontide.core.expertmap.ControlCosts;
 import org.citrontide.fakes.net.TestPorts;
 import org.citrontide.fakes.platform.FakeHttpUpstream;
 import org.citrontide.fakes.platform.FakeHttpUpstream.Script;
@@ -90,7 +91,8 @@
                         RETRY_WINDOW,
                         600,
                         10,
-                        RESPONSE_MEMORY_BYTES),
+                        RESPONSE_MEMORY_BYTES,
+                        ControlCosts.NONE),
                 1,
                 // A process allows no retry in its first window.
                 System.nanoTime() - RETRY_WINDOW.toNanos());
--- a/gateway/src/test/java/org/citrontide/gateway/daemon/GatewaySettingsTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/daemon/GatewaySettingsTest.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 
+import org.citrontide.core.expertmap.ControlCosts;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -34,6 +35,30 @@
                 .isEmpty());
     }
 
+    // Guards against prices that take effect in a deployment whose settings don't ask for them.
+    @Test
+    void controlOfExpertMapsIsPricedOnlyIfTheSettingsSaySo() {
+        assertEquals(ControlCosts.NONE, controlCosts(""));
+        assertEquals(ControlCosts.NONE, controlCosts("[map_control]\nrank_us_per_count = 0\n"));
+        assertEquals(
+                ControlCosts.MEASURED,
+                controlCosts("[map_control]\nrank_us_per_count = 80\nrank_ms_per_order = 10\nrank_ms_per_gb = 25\n"));
+    }
+
+    @Test
+    void aNegativePriceIsAViolation() {
+        assertTrue(GatewaySettings.parse("f", REQUIRED + "[map_control]\nrank_ms_per_gb = -1\n")
+                .value()
+                .isEmpty());
+    }
+
+    private static ControlCosts controlCosts(String lines) {
+        return GatewaySettings.parse("f", REQUIRED + lines)
+                .value()
+                .orElseThrow()
+                .controlCosts();
+    }
+
     private static Duration stopLimit(String lines) {
         return GatewaySettings.parse("f", REQUIRED + lines)
                 .value()
