--- a/gateway/src/test/java/org/citrontide/gateway/daemon/GatewaySettingsTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/daemon/GatewaySettingsTest.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.citrontide.core.expertmap.ControlCosts;
 import org.citrontide.core.warmup.ColdSettings;
 import org.junit.jupiter.api.Test;
 
@@ -54,6 +55,23 @@
                 .isEmpty());
     }
 
+    // Guards against prices that take effect in a deployment whose settings don't ask for them.
+    @Test
+    void controlOfExpertMapsIsPricedOnlyIfTheSettingsSaySo() {
+        assertEquals(ControlCosts.NONE, controlCosts(""));
+        assertEquals(ControlCosts.NONE, controlCosts("[map_control]\nrank_us_per_count = 0\n"));
+        assertEquals(
+                ControlCosts.MEASURED,
+                controlCosts("[map_control]\nrank_us_per_count = 80\nrank_ms_per_order = 10\nrank_ms_per_gb = 25\n"));
+    }
+
+    @Test
+    void aNegativePriceIsAViolation() {
+        assertTrue(GatewaySettings.parse("f", REQUIRED + "[map_control]\nrank_ms_per_gb = -1\n")
+                .value()
+                .isEmpty());
+    }
+
     // Guards against a deployment without the bounds that gets an excess which it doesn't allow.
     @Test
     void theExcessOverTheRatesOfColdUpstreamsIsReadWhereItIsGiven() {
@@ -79,6 +97,13 @@
                 .cold();
     }
 
+    private static ControlCosts controlCosts(String lines) {
+        return GatewaySettings.parse("f", REQUIRED + lines)
+                .value()
+                .orElseThrow()
+                .controlCosts();
+    }
+
     private static Duration stopLimit(String lines) {
         return GatewaySettings.parse("f", REQUIRED + lines)
                 .value()
