--- a/gateway/src/main/java/org/citrontide/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/caller/CallerConnection.java
@@ -58,6 +58,8 @@
     private int unwrittenResponses;
     private boolean isReadingPaused;
     private long lastActivityNanos = System.nanoTime();
+    private long bodySinceNanos;
+    private int bodyBytesBefore;
 
     private CallerConnection(CallerServer server) {
         this.server = server;
@@ -147,7 +149,11 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         try {
+            int bodyBytes = incomingBodyBytes();
             decoder.decode((ByteBuf) message);
+            if (incomingBodyBytes() != bodyBytes) {
+                lastActivityNanos = System.nanoTime();
+            }
             memory.setIncomplete(
                     decoder.incompleteHeadCost(),
                     incoming.map(CallerRequest::memoryBytes).orElse(0L));
@@ -186,21 +192,29 @@
         return current.isEmpty() && incoming.isEmpty() && pipelined.isEmpty() && unwrittenResponses == 0;
     }
 
-    /** Closes the connection if the caller exceeds the timeout for the head of a request or the idle timeout. */
+    /** Closes the connection if the caller exceeds a limit on the time for its request, or the idle timeout. */
     void checkTimeouts(CallerLimits limits, long nowNanos) {
         if (closing || current.isPresent()) {
             return;
         }
         if (decoder.headIncompleteNanos(nowNanos) > limits.headerTimeout().toNanos()) {
-            reject(HttpResponseStatus.REQUEST_TIMEOUT);
+            refuse("head-timeout", HttpResponseStatus.REQUEST_TIMEOUT);
             return;
         }
+        if (incoming.isPresent()) {
+            Optional<String> violation = server.progressRule()
+                    .findViolation(incomingBodyBytes() - bodyBytesBefore, nowNanos - bodySinceNanos);
+            if (violation.isPresent()) {
+                refuse(violation.get(), HttpResponseStatus.REQUEST_TIMEOUT);
+                return;
+            }
+        }
         Duration idle = Duration.ofNanos(nowNanos - lastActivityNanos);
         if (idle.compareTo(limits.idleTimeout()) <= 0) {
             return;
         }
         if (incoming.isPresent()) {
-            reject(HttpResponseStatus.REQUEST_TIMEOUT);
+            refuse("body-idle", HttpResponseStatus.REQUEST_TIMEOUT);
         } else {
             channel.close();
         }
@@ -245,6 +259,17 @@
             channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
         incoming = Optional.of(new CallerRequest(request, cost, this));
+        restartBodyTime();
+    }
+
+    /** Restarts the time of the incoming body, which doesn't run while an earlier request is pending. */
+    private void restartBodyTime() {
+        bodySinceNanos = System.nanoTime();
+        bodyBytesBefore = incomingBodyBytes();
+    }
+
+    private int incomingBodyBytes() {
+        return incoming.isPresent() ? incoming.get().bodyLength() : 0;
     }
 
     @Override
@@ -332,6 +357,9 @@
             writeFuture.addListener(ChannelFutureListener.CLOSE);
             return;
         }
+        if (incoming.isPresent()) {
+            restartBodyTime();
+        }
         dispatchNext();
         updateReading();
     }
--- a/gateway/src/main/java/org/citrontide/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/org/citrontide/gateway/caller/CallerServer.java
@@ -19,6 +19,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import org.citrontide.core.memory.ProgressRule;
 import org.citrontide.core.routes.CallerLimits;
 import org.citrontide.gateway.memory.MemoryGuard;
 import org.citrontide.runtime.eventloop.GuardedTask;
@@ -45,6 +46,7 @@
     private final Supplier<CallerLimits> limits;
     private final int maxConnections;
     private final MemoryGuard memoryGuard;
+    private final ProgressRule progressRule;
     private final Set<CallerConnection> pressed = new HashSet<>();
     private StrictRequestDecoder headDecoder = new StrictRequestDecoder(CallerLimits.INITIAL.headerBytes());
     private int headDecoderBytes = CallerLimits.INITIAL.headerBytes();
@@ -60,18 +62,21 @@
      * @param limits supplies the limits in force
      * @param maxConnections maximum number of connections; further ones are closed immediately
      * @param memoryGuard bounds the memory of requests
+     * @param progressRule bounds the time of incomplete bodies
      */
     public CallerServer(
             EventLoopGroup loop,
             CallerListener listener,
             Supplier<CallerLimits> limits,
             int maxConnections,
-            MemoryGuard memoryGuard) {
+            MemoryGuard memoryGuard,
+            ProgressRule progressRule) {
         this.loop = loop;
         this.listener = listener;
         this.limits = limits;
         this.maxConnections = maxConnections;
         this.memoryGuard = memoryGuard;
+        this.progressRule = progressRule;
     }
 
     /**
@@ -151,6 +156,10 @@
         return memoryGuard;
     }
 
+    ProgressRule progressRule() {
+        return progressRule;
+    }
+
     /** Sets whether reading from a connection is paused because a bound on memory is near. */
     void setPressed(CallerConnection connection, boolean isPressed) {
         if (!isPressed) {
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
@@ -107,7 +107,12 @@
     @Singleton
     CallerServer callerServer(EventLoopGroup eventLoops, GatewayShell shell, MemoryGuard memoryGuard) {
         return new CallerServer(
-                eventLoops, shell, () -> shell.table().limits(), settings.maxConnections(), memoryGuard);
+                eventLoops,
+                shell,
+                () -> shell.table().limits(),
+                settings.maxConnections(),
+                memoryGuard,
+                settings.memory().progressRule());
     }
 
     @Provides
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/MemorySettings.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/MemorySettings.java
@@ -4,6 +4,7 @@
 
 import io.netty.util.internal.PlatformDependent;
 import org.citrontide.core.memory.MemoryBounds;
+import org.citrontide.core.memory.ProgressRule;
 import org.citrontide.core.toml.TomlSection;
 import org.citrontide.core.toml.Violation;
 
@@ -100,6 +101,15 @@
         return MemoryBounds.of(callerBytes, responseBytes, outputBytes);
     }
 
+    /**
+     * Returns the rule for the time of incomplete bodies.
+     *
+     * @return the rule
+     */
+    ProgressRule progressRule() {
+        return new ProgressRule(bodyTime, maxBodyTime, minBodyRate);
+    }
+
     private static long readKb(TomlSection root, String key, int min, long defaultBytes) {
         int defaultKb = Math.clamp(defaultBytes / BYTES_PER_KB, min, MAX_KB);
         return (long) root.integer(key, min, MAX_KB, defaultKb) * BYTES_PER_KB;
--- a/gateway/src/test/java/org/citrontide/gateway/CallerMemoryTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/CallerMemoryTest.java
@@ -167,4 +167,27 @@
         }
         awaitNoMemory();
     }
+
+    // Guards against a caller that keeps its connection and memory by a byte now and then, or without end.
+    @Test
+    void aBodyWithoutProgressOrEndIsAnsweredWith408() throws IOException {
+        addUpstreamForLargeRequests();
+        for (int bytes : new int[] {1, 4096}) {
+            try (RawCaller caller = new RawCaller(callerPort)) {
+                caller.write(HEAD + "Content-Length: " + BODY_BYTES + "\r\n\r\n");
+                String reason = bytes == 1 ? "body-too-slow" : "body-too-long";
+                await(reason, () -> {
+                    try {
+                        caller.write("x".repeat(bytes));
+                    } catch (IOException e) {
+                        return true;
+                    }
+                    pause(100);
+                    return metrics().contains("how=\"answered\",reason=\"" + reason + "\"");
+                });
+                assertEquals(408, caller.readResponse().status());
+            }
+        }
+        awaitNoMemory();
+    }
 }
--- a/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
@@ -26,11 +26,12 @@
 abstract class GatewayHarness {
     static final int RESPONSE_MEMORY_BYTES = 16 * 1024 * 1024;
 
+    // The body times are shorter than the timeouts of the callers of these tests; other tests send whole requests.
     private static final MemorySettings MEMORY = new MemorySettings(
             16 * 1024 * 1024,
             4 * 1024 * 1024,
-            Duration.ofSeconds(60),
-            Duration.ofSeconds(600),
+            Duration.ofSeconds(3),
+            Duration.ofSeconds(6),
             1024,
             Duration.ofMillis(200));
 
