End the process when memory runs out, and measure the lag of the event loop

The deployed command lacked ExitOnOutOfMemoryError, and that flag doesn't cover errors of direct memory, which Java code raises: they only closed the connection that met them. Failed writes, exceptions of the channels and guarded tasks now end the process with one line, event=out-of-memory, and exit code 3, the code of the flag. The event loop's lag is measured every 100 ms (citrontide_gateway_loop_lag_seconds) and logged from loop_lag_ms on, one line a second.

--- a/gateway/src/main/java/org/citrontide/gateway/admin/PageServer.java
+++ b/gateway/src/main/java/org/citrontide/gateway/admin/PageServer.java
@@ -24,6 +24,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.timeout.IdleStateHandler;
+import org.citrontide.runtime.eventloop.OutOfMemoryExit;
 
 /**
  * Minimal HTTP server for pages on a separate address, run by the gateway's event loop.
@@ -138,6 +139,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            OutOfMemoryExit.check(cause);
             ctx.close();
         }
     }
--- a/gateway/src/main/java/org/citrontide/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/caller/CallerConnection.java
@@ -29,6 +29,7 @@
 import org.citrontide.core.memory.MemoryBound;
 import org.citrontide.core.memory.MemoryOwner;
 import org.citrontide.core.routes.CallerLimits;
+import org.citrontide.runtime.eventloop.OutOfMemoryExit;
 
 /**
  * A caller's connection, which reads complete requests, dispatches one at a time, and writes the responses in order.
@@ -46,6 +47,8 @@
     // Time for the memory of callers that were refused or too slow to be freed.
     private static final int RETRY_AFTER_SECONDS = 1;
 
+    private static final ChannelFutureListener CHECK_MEMORY = write -> OutOfMemoryExit.check(write.cause());
+
     private final CallerServer server;
     private RequestDecoder decoder;
     private ConnectionMemory memory;
@@ -107,7 +110,7 @@
             HttpUtil.setKeepAlive(response, false);
         }
         streaming = true;
-        channel.write(response);
+        channel.write(response).addListener(CHECK_MEMORY);
     }
 
     /**
@@ -116,7 +119,8 @@
      * @param data the bytes of the chunk
      */
     public void writeChunk(byte[] data) {
-        channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(data)));
+        channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(data)))
+                .addListener(CHECK_MEMORY);
     }
 
     /**
@@ -185,6 +189,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        OutOfMemoryExit.check(cause);
         ctx.close();
     }
 
@@ -351,6 +356,7 @@
         lastActivityNanos = System.nanoTime();
         unwrittenResponses++;
         server.responseQueued();
+        writeFuture.addListener(CHECK_MEMORY);
         writeFuture.addListener(f -> handleResponseWritten());
         if (isLast) {
             stopDecoding();
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayComponent.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayComponent.java
@@ -8,6 +8,7 @@
 import org.citrontide.gateway.admin.PageServer;
 import org.citrontide.gateway.caller.CallerServer;
 import org.citrontide.gateway.dispatch.GatewayShell;
+import org.citrontide.gateway.memory.LoopLagMonitor;
 
 /** Dagger component that holds the objects of a gateway. */
 @Singleton
@@ -23,6 +24,8 @@
 
     CallerServer callerServer();
 
+    LoopLagMonitor loopLagMonitor();
+
     GatewayShell shell();
 
     ControlPlane controlPlane();
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayDaemon.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayDaemon.java
@@ -50,6 +50,7 @@
         }
         component.callerServer().listen(settings.callerAddress());
         component.eventLoops().next().execute(() -> component.controlPlane().start());
+        component.eventLoops().next().execute(() -> component.loopLagMonitor().start());
         LOG.info("started")
                 .with("caller-address", settings.callerAddress())
                 .with("store-address", settings.storeAddress())
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
@@ -24,6 +24,7 @@
 import org.citrontide.gateway.caller.CallerServer;
 import org.citrontide.gateway.dispatch.GatewayMetrics;
 import org.citrontide.gateway.dispatch.GatewayShell;
+import org.citrontide.gateway.memory.LoopLagMonitor;
 import org.citrontide.gateway.memory.MemoryGuard;
 import org.citrontide.gateway.upstream.ResponseFaults;
 
@@ -103,6 +104,12 @@
         return new MemoryGuard(ledger, registry);
     }
 
+    @Provides
+    @Singleton
+    LoopLagMonitor loopLagMonitor(EventLoopGroup eventLoops, PrometheusRegistry registry) {
+        return new LoopLagMonitor(eventLoops.next(), settings.memory().lagBound(), registry);
+    }
+
     @Provides
     @Singleton
     CallerServer callerServer(EventLoopGroup eventLoops, GatewayShell shell, MemoryGuard memoryGuard) {
--- a/gateway/src/main/java/org/citrontide/gateway/store/PlatformClient.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/PlatformClient.java
@@ -38,6 +38,7 @@
 import org.citrontide.gateway.http.ResponseDecoder;
 import org.citrontide.gateway.http.UnexpectedBytes;
 import org.citrontide.platform.PlatformCall;
+import org.citrontide.runtime.eventloop.OutOfMemoryExit;
 import org.citrontide.runtime.log.EventLog;
 
 /**
@@ -301,6 +302,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            OutOfMemoryExit.check(cause);
             ctx.close();
         }
 
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/RequestWriter.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/RequestWriter.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.LastHttpContent;
+import org.citrontide.runtime.eventloop.OutOfMemoryExit;
 
 /**
  * Writes one request to an upstream, a large one in pieces as the upstream takes them: the channel copies what is
@@ -48,7 +49,7 @@
         if (!hasBegun && unwritten.readableBytes() <= WHOLE_BYTES) {
             hasBegun = true;
             isEnding = true;
-            channel.writeAndFlush(request).addListener(f -> setResult(f.isSuccess()));
+            channel.writeAndFlush(request).addListener(f -> handleEnd(f.cause()));
             return;
         }
         if (isEnding || hasResult) {
@@ -66,22 +67,23 @@
         }
         if (!unwritten.isReadable() && !hasResult) {
             isEnding = true;
-            channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(f -> setResult(f.isSuccess()));
+            channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(f -> handleEnd(f.cause()));
         }
     }
 
     private void noteFailure(ChannelFuture write) {
         write.addListener(f -> {
             if (!f.isSuccess()) {
-                setResult(false);
+                handleEnd(f.cause());
             }
         });
     }
 
-    private void setResult(boolean isWritten) {
+    private void handleEnd(Throwable failure) {
+        OutOfMemoryExit.check(failure);
         if (!hasResult) {
             hasResult = true;
-            result.accept(isWritten);
+            result.accept(failure == null);
         }
     }
 }
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
@@ -25,6 +25,7 @@
 import org.citrontide.gateway.http.ResponseDecoder;
 import org.citrontide.gateway.http.UnexpectedBytes;
 import org.citrontide.platform.PlatformHeaders;
+import org.citrontide.runtime.eventloop.OutOfMemoryExit;
 import org.citrontide.runtime.log.EventLog;
 
 /**
@@ -187,6 +188,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        OutOfMemoryExit.check(cause);
         ctx.close();
     }
 
--- a/gateway/src/test/java/org/citrontide/gateway/CallerMemoryTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/CallerMemoryTest.java
@@ -190,4 +190,11 @@
         }
         awaitNoMemory();
     }
+
+    // Guards against a blocked event loop that nobody can see.
+    @Test
+    void theLagOfTheEventLoopIsExported() throws IOException {
+        addUpstreamForLargeRequests();
+        await("the lag is measured", () -> metrics().contains("citrontide_gateway_loop_lag_seconds_bucket"));
+    }
 }
