Bound what upstreams send beside their data, and what callers don't read

An upstream could send interim responses or chunk extensions without end, a connection to one was read up to 16 times 64 KB a turn, and a response of up to 8 MB to a caller that doesn't read was copied whole into 24 MB of direct memory and no longer counted. Now at most 16 interim or skipped responses precede the one that is due, the framing of a body may take 64 KB and eight bytes for each byte of data (a chunk of one byte has five), beyond which the attempt ends as one that may have run, and a turn reads 32 KB. Bodies above 64 KB are written to callers in pieces of 32 KB as they read. Incomplete responses, large responses until they are written, and output that the socket doesn't take at once count in the memory ledger; the heaviest is dropped or closed at a bound.

--- a/core/src/main/java/org/citrontide/core/gateway/ResponseMemory.java
+++ b/core/src/main/java/org/citrontide/core/gateway/ResponseMemory.java
@@ -5,6 +5,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
+
+import org.citrontide.core.memory.MemoryAccount;
+import org.citrontide.core.memory.MemoryHolder;
+import org.citrontide.core.memory.MemoryLedger;
 
 /**
  * Limits the memory for the incomplete responses of all attempts of a gateway.
@@ -17,7 +24,11 @@
  */
 public final class ResponseMemory {
     private final long limitBytes;
+    private final Optional<MemoryLedger> ledger;
+    private final LongSupplier clock;
     private final Map<Long, Long> bytesByAttempt = new HashMap<>();
+    private final Map<Long, MemoryAccount> accounts = new HashMap<>();
+    private LongConsumer refusalListener = attempt -> {};
     private long usedBytes;
 
     /**
@@ -27,6 +38,30 @@
      */
     public ResponseMemory(long limitBytes) {
         this.limitBytes = limitBytes;
+        this.ledger = Optional.empty();
+        this.clock = () -> 0;
+    }
+
+    /**
+     * Creates an empty account that also counts in a ledger.
+     *
+     * @param limitBytes maximum memory of all responses in bytes
+     * @param ledger counts the memory of all holders
+     * @param clock supplies the monotonic time in ns
+     */
+    public ResponseMemory(long limitBytes, MemoryLedger ledger, LongSupplier clock) {
+        this.limitBytes = limitBytes;
+        this.ledger = Optional.of(ledger);
+        this.clock = clock;
+    }
+
+    /**
+     * Sets what drops a response that the ledger refuses, at any time.
+     *
+     * @param listener takes the number of the attempt, whose memory is no longer counted
+     */
+    public void setRefusalListener(LongConsumer listener) {
+        refusalListener = listener;
     }
 
     /**
@@ -49,6 +84,9 @@
             remove(largest);
             dropped.add(largest);
         }
+        if (ledger.isPresent() && bytesByAttempt.containsKey(attempt)) {
+            addToLedger(ledger.get(), attempt, bytes);
+        }
         return dropped;
     }
 
@@ -60,6 +98,10 @@
     public void remove(long attempt) {
         Long bytes = bytesByAttempt.remove(attempt);
         usedBytes -= bytes == null ? 0 : bytes;
+        MemoryAccount account = accounts.remove(attempt);
+        if (account != null) {
+            ledger.orElseThrow().close(account);
+        }
     }
 
     /**
@@ -70,4 +112,17 @@
     public long usedBytes() {
         return usedBytes;
     }
+
+    private void addToLedger(MemoryLedger memoryLedger, long attempt, int bytes) {
+        MemoryAccount account =
+                accounts.computeIfAbsent(attempt, n -> memoryLedger.open(bound -> handleRefusal(n), limitBytes));
+        memoryLedger
+                .add(account, MemoryHolder.RESPONSES, bytes, clock.getAsLong())
+                .forEach(r -> r.account().owner().memoryRefused(r.bound()));
+    }
+
+    private void handleRefusal(long attempt) {
+        remove(attempt);
+        refusalListener.accept(attempt);
+    }
 }
--- a/core/src/test/java/org/citrontide/core/gateway/ResponseMemoryTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/ResponseMemoryTest.java
@@ -1,10 +1,15 @@
 package org.citrontide.core.gateway;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 
+import org.citrontide.core.memory.MemoryAccount;
+import org.citrontide.core.memory.MemoryBounds;
+import org.citrontide.core.memory.MemoryHolder;
+import org.citrontide.core.memory.MemoryLedger;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -52,4 +57,23 @@
             assertEquals(0, memory.usedBytes(), "seed " + seed);
         }
     }
+
+    // Guards against responses that the ledger doesn't count, and against one that it refuses but that is kept.
+    @Test
+    void countsInTheLedgerAndDropsWhatTheLedgerRefuses() {
+        MemoryLedger ledger = new MemoryLedger(MemoryBounds.of(1000, LIMIT, 1000));
+        ResponseMemory memory = new ResponseMemory(LIMIT, ledger, () -> 0);
+        List<Long> refused = new ArrayList<>();
+        memory.setRefusalListener(refused::add);
+        assertEquals(List.of(), memory.add(1, 600));
+        assertEquals(600, ledger.usedBytes(MemoryHolder.RESPONSES));
+        MemoryAccount output = ledger.open(bound -> {});
+        ledger.add(output, MemoryHolder.RESPONSES, 500, 0)
+                .forEach(r -> r.account().owner().memoryRefused(r.bound()));
+        assertEquals(List.of(1L), refused);
+        assertEquals(0, memory.usedBytes());
+        memory.add(2, 300);
+        memory.remove(2);
+        assertEquals(500, ledger.usedBytes());
+    }
 }
--- a/gateway/src/main/java/org/citrontide/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/caller/CallerConnection.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -29,6 +30,7 @@
 import org.citrontide.core.memory.MemoryBound;
 import org.citrontide.core.memory.MemoryOwner;
 import org.citrontide.core.routes.CallerLimits;
+import org.citrontide.gateway.http.BodyWriter;
 import org.citrontide.runtime.eventloop.OutOfMemoryExit;
 
 /**
@@ -54,6 +56,7 @@
     private ConnectionMemory memory;
     private final Deque<CallerRequest> pipelined = new ArrayDeque<>();
     private Channel channel;
+    private CallerOutput output;
     private Optional<CallerRequest> incoming = Optional.empty();
     private Optional<CallerRequest> current = Optional.empty();
     private boolean closing;
@@ -83,13 +86,24 @@
      * @param body the complete body
      */
     public void sendResponse(int status, HttpHeaders headers, byte[] body) {
+        boolean isLast = isLastResponse();
+        if (body.length > BodyWriter.WHOLE_BYTES) {
+            DefaultHttpResponse head =
+                    new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+            setHeaders(head, headers, body.length, isLast);
+            handleResponseEnd(output.writeLarge(head, body), isLast);
+            return;
+        }
         DefaultFullHttpResponse response = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
+        setHeaders(response, headers, body.length, isLast);
+        handleResponseEnd(output.write(response, body.length), isLast);
+    }
+
+    private static void setHeaders(HttpResponse response, HttpHeaders headers, int length, boolean isLast) {
         response.headers().set(headers);
-        HttpUtil.setContentLength(response, body.length);
-        boolean isLast = isLastResponse();
+        HttpUtil.setContentLength(response, length);
         HttpUtil.setKeepAlive(response, !isLast);
-        handleResponseEnd(channel.writeAndFlush(response), isLast);
     }
 
     /**
@@ -119,8 +133,7 @@
      * @param data the bytes of the chunk
      */
     public void writeChunk(byte[] data) {
-        channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(data)))
-                .addListener(CHECK_MEMORY);
+        output.write(new DefaultHttpContent(Unpooled.wrappedBuffer(data)), data.length);
     }
 
     /**
@@ -147,6 +160,7 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         channel = ctx.channel();
+        output = new CallerOutput(channel, server.memoryGuard(), this);
         server.connectionOpened(this);
     }
 
@@ -171,6 +185,7 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         server.connectionClosed(this, unwrittenResponses);
         memory.close();
+        output.close();
         decoder.discardRest();
         incoming = Optional.empty();
         unwrittenResponses = 0;
@@ -182,6 +197,7 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        output.resume();
         if (channel.isWritable()) {
             current.ifPresent(server.listener()::callerWritable);
         }
@@ -244,6 +260,14 @@
         server.setPressed(this, isPressed && !closing);
     }
 
+    /** Closes the connection because its caller doesn't read the response. */
+    void closeUnread(MemoryBound bound) {
+        server.memoryGuard()
+                .recordRefusedCaller(
+                        "unread-" + bound.key(), false, channel.remoteAddress(), channel.bytesBeforeWritable());
+        channel.close();
+    }
+
     @Override
     public void memoryRefused(MemoryBound bound) {
         refuse("memory-" + bound.key(), HttpResponseStatus.SERVICE_UNAVAILABLE);
@@ -339,7 +363,7 @@
     }
 
     private void dispatchNext() {
-        if (current.isPresent() || pipelined.isEmpty()) {
+        if (current.isPresent() || pipelined.isEmpty() || output.isWritingLarge()) {
             return;
         }
         current = Optional.of(pipelined.removeFirst());
@@ -356,7 +380,6 @@
         lastActivityNanos = System.nanoTime();
         unwrittenResponses++;
         server.responseQueued();
-        writeFuture.addListener(CHECK_MEMORY);
         writeFuture.addListener(f -> handleResponseWritten());
         if (isLast) {
             stopDecoding();
@@ -380,6 +403,9 @@
             unwrittenResponses--;
             server.responseWritten();
         }
+        if (!closing) {
+            dispatchNext();
+        }
     }
 
     /**
@@ -387,7 +413,7 @@
      * that request is not read. Closes it without a response if the response to an earlier request is pending.
      */
     private void reject(HttpResponseStatus status) {
-        boolean isAnswered = current.isEmpty() && !streaming;
+        boolean isAnswered = isAnswerable();
         stopDecoding();
         incoming = Optional.empty();
         if (!isAnswered) {
@@ -403,13 +429,17 @@
         channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
     }
 
+    private boolean isAnswerable() {
+        return current.isEmpty() && !streaming && !output.isWritingLarge();
+    }
+
     /** Rejects the incomplete request because of a bound on memory or time, and records that. */
     private void refuse(String reason, HttpResponseStatus status) {
         if (closing) {
             channel.close();
             return;
         }
-        boolean isAnswered = current.isEmpty() && !streaming;
+        boolean isAnswered = isAnswerable();
         server.memoryGuard()
                 .recordRefusedCaller(
                         reason, isAnswered, channel.remoteAddress(), memory.waitingBytes() + memory.incompleteBytes());
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
@@ -83,7 +83,11 @@
     @Provides
     @Singleton
     GatewayShell shell(
-            EventLoopGroup eventLoops, PrometheusRegistry registry, RandomGenerator r, RetrySlackShare slackShare) {
+            EventLoopGroup eventLoops,
+            PrometheusRegistry registry,
+            RandomGenerator r,
+            RetrySlackShare slackShare,
+            MemoryLedger ledger) {
         GatewayDispatcher dispatcher = new GatewayDispatcher(
                 settings.zone(),
                 () -> new GatewayRetryBudget(settings.retryRatio(), settings.retryWindow(), slackShare, startNanos),
@@ -93,14 +97,19 @@
                 eventLoops.next(),
                 r,
                 new GatewayMetrics(registry, settings.maxTeamLabels()),
-                new ResponseMemory(settings.responseMemoryBytes()),
+                new ResponseMemory(settings.responseMemoryBytes(), ledger, System::nanoTime),
                 new ResponseFaults(registry));
     }
 
     @Provides
     @Singleton
-    MemoryGuard memoryGuard(PrometheusRegistry registry) {
-        MemoryLedger ledger = new MemoryLedger(settings.memory().bounds(settings.responseMemoryBytes()));
+    MemoryLedger memoryLedger() {
+        return new MemoryLedger(settings.memory().bounds(settings.responseMemoryBytes()));
+    }
+
+    @Provides
+    @Singleton
+    MemoryGuard memoryGuard(MemoryLedger ledger, PrometheusRegistry registry) {
         return new MemoryGuard(ledger, registry);
     }
 
--- a/gateway/src/main/java/org/citrontide/gateway/http/ResponseDecoder.java
+++ b/gateway/src/main/java/org/citrontide/gateway/http/ResponseDecoder.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -22,10 +23,17 @@
  * decoded once it is complete, and has exactly one status line, which begins with its first byte; after an
  * irregularity, which is passed on as a message or content whose decoder result is a failure, nothing is decoded any
  * more. Line ends before a status line are rejected too, because a peer that ends its responses where it says sends
- * none. A response to a HEAD request has no body, whatever its Content-Length is. Not thread-safe: owned by the event
- * loop.
+ * none. The number of interim and skipped responses before the one that is due is limited, and so are the bytes of
+ * chunk framing and trailers in proportion to those of data. A response to a HEAD request has no body, whatever its
+ * Content-Length is. Not thread-safe: owned by the event loop.
  */
 public final class ResponseDecoder extends HttpResponseDecoder {
+    // Upstreams send one interim response at most; a skipped one is the late response to an earlier attempt.
+    private static final int MAX_RESPONSES_BEFORE = 16;
+    // Chunks of one byte without an extension have five bytes of framing.
+    private static final int MAX_FRAMING_PER_BYTE = 8;
+    private static final int MIN_FRAMING_LIMIT = 64 * 1024;
+
     private final List<String> singleFields;
     private HeadScanner head = new HeadScanner();
     private StatusLineMatcher skippedMatcher = new StatusLineMatcher();
@@ -36,6 +44,9 @@
     private boolean isSkipping;
     private boolean hasEnded;
     private boolean isBroken;
+    private int responsesBefore;
+    private long bodyBytes;
+    private long dataBytes;
 
     /**
      * Creates a decoder of a new connection, on which no response is due.
@@ -56,6 +67,7 @@
         isDue = true;
         isSkipping = false;
         hasEnded = false;
+        responsesBefore = 0;
     }
 
     /**
@@ -158,10 +170,16 @@
         }
         isInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         isInBody = true;
+        bodyBytes = 0;
+        dataBytes = 0;
         noteEnd(out, first);
     }
 
     private void checkHead(HttpResponse response, boolean isWhole) throws MalformedResponseException {
+        responsesBefore++;
+        if (responsesBefore > MAX_RESPONSES_BEFORE + 1) {
+            throw new MalformedResponseException("too-many-responses");
+        }
         if (!isWhole) {
             throw new MalformedResponseException("unparsable");
         }
@@ -188,6 +206,15 @@
             removeFrom(out, first);
             throw new MalformedResponseException("second-status-line");
         }
+        bodyBytes += in.readerIndex() - begin;
+        for (Object message : out.subList(first, out.size())) {
+            dataBytes +=
+                    message instanceof HttpContent content ? content.content().readableBytes() : 0;
+        }
+        if (bodyBytes - dataBytes > MIN_FRAMING_LIMIT + MAX_FRAMING_PER_BYTE * dataBytes) {
+            removeFrom(out, first);
+            throw new MalformedResponseException("framing-too-long");
+        }
         noteEnd(out, first);
     }
 
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
@@ -10,6 +10,8 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -20,6 +22,7 @@
 import org.citrontide.core.gateway.AttemptOutcome;
 import org.citrontide.core.routes.ListedUpstream;
 import org.citrontide.core.verdict.Reason;
+import org.citrontide.gateway.http.BodyWriter;
 import org.citrontide.gateway.http.MalformedResponseException;
 import org.citrontide.gateway.http.ProbedSocketChannel;
 import org.citrontide.gateway.http.ResponseDecoder;
@@ -59,7 +62,7 @@
     private final ListedUpstream upstream;
     private final long number;
     private ProbedSocketChannel channel;
-    private Optional<RequestWriter> writer = Optional.empty();
+    private Optional<BodyWriter> writer = Optional.empty();
     private Optional<UpstreamAttempt> current = Optional.empty();
     private boolean usedBefore;
     private boolean isReused;
@@ -109,8 +112,19 @@
                         PlatformHeaders.REMAINING_MS,
                         Math.max(1, attempt.remaining(System.nanoTime()).toMillis()));
         decoder.expectResponseTo(attempt.request().method().name());
-        writer = Optional.of(new RequestWriter(channel, attempt.request(), ok -> handleWritten(attempt, ok)));
-        writer.get().write();
+        write(attempt);
+    }
+
+    private void write(UpstreamAttempt attempt) {
+        FullHttpRequest request = attempt.request();
+        if (request.content().readableBytes() <= BodyWriter.WHOLE_BYTES) {
+            channel.writeAndFlush(request).addListener(f -> handleWritten(attempt, f.cause()));
+            return;
+        }
+        BodyWriter bodyWriter = new BodyWriter(channel, request.content(), failure -> handleWritten(attempt, failure));
+        writer = Optional.of(bodyWriter);
+        bodyWriter.begin(
+                new DefaultHttpRequest(request.protocolVersion(), request.method(), request.uri(), request.headers()));
     }
 
     /**
@@ -176,7 +190,7 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-        writer.ifPresent(RequestWriter::write);
+        writer.ifPresent(BodyWriter::resume);
     }
 
     @Override
@@ -193,7 +207,9 @@
     }
 
     /** Closes the connection after a failed write, once the response that may have arrived before it has been read. */
-    private void handleWritten(UpstreamAttempt attempt, boolean isWritten) {
+    private void handleWritten(UpstreamAttempt attempt, Throwable failure) {
+        OutOfMemoryExit.check(failure);
+        boolean isWritten = failure == null;
         requestWritten = isWritten;
         writer = Optional.empty();
         if (isWritten) {
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnectionPool.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnectionPool.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
@@ -33,6 +34,10 @@
 public final class UpstreamConnectionPool {
     // Allows for several round trips between zones; a longer timeout only delays the selection of another upstream.
     private static final int CONNECT_TIMEOUT_MS = 400;
+    // One read a turn, so that an upstream with much to send leaves the other connections their turn.
+    private static final int MIN_READ_BYTES = 512;
+    private static final int INITIAL_READ_BYTES = 2048;
+    private static final int MAX_READ_BYTES = 32 * 1024;
     // A response with two of them would be made of two responses.
     private static final List<String> SINGLE_FIELDS =
             List.of(PlatformHeaders.ATTEMPT_ID, PlatformHeaders.RESPONSE_STAMP);
@@ -75,6 +80,8 @@
         this.loop = loop;
         this.listener = listener;
         this.responseMemory = responseMemory;
+        Map<Long, UpstreamAttempt> kept = keptByNumber;
+        responseMemory.setRefusalListener(number -> drop(kept.get(number)));
         this.faults = faults;
         this.sendMonitor = sendMonitor;
         this.channelFactory = channelFactory;
@@ -143,10 +150,14 @@
     void recordMemory(UpstreamAttempt attempt, int bytes) {
         keptByNumber.put(attempt.number(), attempt);
         for (long dropped : responseMemory.add(attempt.number(), bytes)) {
-            keptByNumber.get(dropped).connection().ifPresent(UpstreamConnection::dropResponse);
+            drop(keptByNumber.get(dropped));
         }
     }
 
+    private static void drop(UpstreamAttempt attempt) {
+        attempt.connection().ifPresent(UpstreamConnection::dropResponse);
+    }
+
     void releaseMemory(UpstreamAttempt attempt) {
         keptByNumber.remove(attempt.number());
         responseMemory.remove(attempt.number());
@@ -195,6 +206,10 @@
                 .channelFactory(channelFactory)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
+                                .maxMessagesPerRead(1))
                 .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .option(ChannelOption.AUTO_CLOSE, false)
                 .handler(new ChannelInitializer<Channel>() {
--- a/gateway/src/test/java/org/citrontide/gateway/CallerMemoryTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/CallerMemoryTest.java
@@ -197,4 +197,30 @@
         addUpstreamForLargeRequests();
         await("the lag is measured", () -> metrics().contains("citrontide_gateway_loop_lag_seconds_bucket"));
     }
+
+    // Guards against complete responses that take up direct memory, or are not counted, while their callers don't read.
+    @Test
+    void largeResponsesToCallersThatDoNotReadAreBoundedAndArriveWhole() throws IOException {
+        addUpstream("a", (r, reply) -> reply.writeResponse("200 OK", BODY));
+        List<RawCaller> slow = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            slow.add(RawCaller.withSmallReceiveBuffer(callerPort));
+            slow.getLast().sendRequest("GET", "/look/large", "id-" + i, "");
+            pause(100);
+        }
+        await("a caller is closed", () -> metrics().contains("how=\"closed\",reason=\"unread-"));
+        assertTrue(memoryBytes() <= 37 * 1024 * 1024);
+        int whole = 0;
+        for (RawCaller caller : slow) {
+            try {
+                RawCaller.Response response = caller.readResponse();
+                whole += response.isComplete() && response.body().equals(BODY) ? 1 : 0;
+            } catch (IOException | NumberFormatException | ArrayIndexOutOfBoundsException e) {
+                // Its connection was closed.
+            }
+            caller.close();
+        }
+        assertTrue(whole >= 2 && whole < slow.size(), whole + " whole responses");
+        awaitNoMemory();
+    }
 }
