--- a/gateway/src/main/java/org/citrontide/gateway/caller/CallerRequest.java
+++ b/gateway/src/main/java/org/citrontide/gateway/caller/CallerRequest.java
@@ -1,8 +1,6 @@
 package org.citrontide.gateway.caller;
 
-import java.io.ByteArrayOutputStream;
-import java.util.Map;
-
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
@@ -14,21 +12,20 @@
  * <p>Not thread-safe: owned by the event loop.
  */
 public final class CallerRequest {
-    // Entry of the table and two string objects with their arrays, about.
-    private static final int FIELD_OVERHEAD_BYTES = 128;
-
     private final HttpMethod method;
     private final String target;
     private final HttpHeaders headers;
     private final boolean keepAlive;
     private final CallerConnection connection;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+    private final int headCost;
+    private final RequestBody body = new RequestBody();
 
-    CallerRequest(HttpRequest request, CallerConnection connection) {
+    CallerRequest(HttpRequest request, int headCost, CallerConnection connection) {
         this.method = request.method();
         this.target = request.uri();
         this.headers = request.headers();
         this.keepAlive = HttpUtil.isKeepAlive(request);
+        this.headCost = headCost;
         this.connection = connection;
     }
 
@@ -62,10 +59,11 @@
     /**
      * Returns the body.
      *
-     * @return the body bytes received so far, complete once the request is dispatched
+     * @return a view of the body bytes received so far, complete once the request is dispatched; its bytes must not be
+     *     modified
      */
-    public byte[] body() {
-        return body.toByteArray();
+    public ByteBuf body() {
+        return body.view();
     }
 
     /**
@@ -78,16 +76,12 @@
     }
 
     /**
-     * Estimates the memory that the request takes up.
+     * Returns the memory that the request takes up.
      *
-     * @return size of the head and the body in bytes, with the objects of the header fields
+     * @return size of the head with the objects of its fields, and of the body, in bytes
      */
-    public int memoryBytes() {
-        int bytes = target.length() + body.size();
-        for (Map.Entry<String, String> field : headers) {
-            bytes += field.getKey().length() + field.getValue().length() + FIELD_OVERHEAD_BYTES;
-        }
-        return bytes;
+    public long memoryBytes() {
+        return (long) headCost + body.capacity();
     }
 
     boolean isKeepAlive() {
@@ -103,7 +97,7 @@
         return body.size();
     }
 
-    void appendBody(byte[] data) {
-        body.writeBytes(data);
+    void appendBody(ByteBuf in, int length, long unread) {
+        body.append(in, length, unread);
     }
 }
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
@@ -17,12 +17,15 @@
 import org.citrontide.core.gateway.GatewayRetryBudget;
 import org.citrontide.core.gateway.ResponseMemory;
 import org.citrontide.core.gateway.RetrySlackShare;
+import org.citrontide.core.memory.MemoryLedger;
 import org.citrontide.gateway.admin.AdminPages;
 import org.citrontide.gateway.admin.PageServer;
 import org.citrontide.gateway.admin.PeerPages;
 import org.citrontide.gateway.caller.CallerServer;
 import org.citrontide.gateway.dispatch.GatewayMetrics;
 import org.citrontide.gateway.dispatch.GatewayShell;
+import org.citrontide.gateway.memory.LoopLagMonitor;
+import org.citrontide.gateway.memory.MemoryGuard;
 import org.citrontide.gateway.upstream.ResponseFaults;
 
 /** Provides the objects of {@link GatewayComponent}. Used once, when the process starts. */
@@ -80,7 +83,11 @@
     @Provides
     @Singleton
     GatewayShell shell(
-            EventLoopGroup eventLoops, PrometheusRegistry registry, RandomGenerator r, RetrySlackShare slackShare) {
+            EventLoopGroup eventLoops,
+            PrometheusRegistry registry,
+            RandomGenerator r,
+            RetrySlackShare slackShare,
+            MemoryLedger ledger) {
         GatewayDispatcher dispatcher = new GatewayDispatcher(
                 settings.zone(),
                 settings.locality().regionByZone(),
@@ -92,14 +99,38 @@
                 eventLoops.next(),
                 r,
                 new GatewayMetrics(registry, settings.maxTeamLabels()),
-                new ResponseMemory(settings.responseMemoryBytes()),
+                new ResponseMemory(settings.responseMemoryBytes(), ledger, System::nanoTime),
                 new ResponseFaults(registry));
     }
 
     @Provides
     @Singleton
-    CallerServer callerServer(EventLoopGroup eventLoops, GatewayShell shell) {
-        return new CallerServer(eventLoops, shell, () -> shell.table().limits(), settings.maxConnections());
+    MemoryLedger memoryLedger() {
+        return new MemoryLedger(settings.memory().bounds(settings.responseMemoryBytes()));
+    }
+
+    @Provides
+    @Singleton
+    MemoryGuard memoryGuard(MemoryLedger ledger, PrometheusRegistry registry) {
+        return new MemoryGuard(ledger, registry);
+    }
+
+    @Provides
+    @Singleton
+    LoopLagMonitor loopLagMonitor(EventLoopGroup eventLoops, PrometheusRegistry registry) {
+        return new LoopLagMonitor(eventLoops.next(), settings.memory().lagBound(), registry);
+    }
+
+    @Provides
+    @Singleton
+    CallerServer callerServer(EventLoopGroup eventLoops, GatewayShell shell, MemoryGuard memoryGuard) {
+        return new CallerServer(
+                eventLoops,
+                shell,
+                () -> shell.table().limits(),
+                settings.maxConnections(),
+                memoryGuard,
+                settings.memory().progressRule());
     }
 
     @Provides
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewaySettings.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewaySettings.java
@@ -30,6 +30,7 @@
  * @param retrySlack retries per window allowed to all gateways together, regardless of the number of requests
  * @param maxTeamLabels maximum number of teams that have their own metric labels
  * @param responseMemoryBytes maximum memory in bytes for incomplete responses of upstreams
+ * @param memory bounds on the memory and time that callers can take
  * @param locality regions and evacuations of zones
  * @param cold excess that is allowed over the rates of cold upstreams
  * @param controlCosts prices of reads of expert counts, orders and copies; without prices, thresholds alone decide
@@ -51,6 +52,7 @@
         int retrySlack,
         int maxTeamLabels,
         long responseMemoryBytes,
+        MemorySettings memory,
         LocalitySettings locality,
         ColdSettings cold,
         ControlCosts controlCosts) {
@@ -113,6 +115,8 @@
         int slack = root.integer("repeat_slack", 0, MAX_SLACK, DEFAULT_SLACK);
         int labels = root.integer("max_team_labels", 0, MAX_LABELS, DEFAULT_LABELS);
         int responseMemory = root.integer("response_memory_kb", 1, MAX_RESPONSE_MEMORY_KB, defaultResponseMemoryKb());
+        long responseBytes = (long) responseMemory * BYTES_PER_KB;
+        MemorySettings memory = MemorySettings.read(root, responseBytes);
         LocalitySettings locality = LocalitySettings.read(root);
         ColdSettings cold = ColdSettingsReader.read(root);
         ControlCosts costs = ControlCostSettings.read(root);
@@ -132,7 +136,8 @@
                 window,
                 slack,
                 labels,
-                (long) responseMemory * BYTES_PER_KB,
+                responseBytes,
+                memory,
                 locality,
                 cold,
                 costs));
--- a/gateway/src/main/java/org/citrontide/gateway/store/PlatformClient.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/PlatformClient.java
@@ -39,6 +39,7 @@
 import org.citrontide.gateway.http.ResponseDecoder;
 import org.citrontide.gateway.http.UnexpectedBytes;
 import org.citrontide.platform.PlatformCall;
+import org.citrontide.runtime.eventloop.OutOfMemoryExit;
 import org.citrontide.runtime.log.EventLog;
 
 /**
@@ -304,6 +305,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            OutOfMemoryExit.check(cause);
             if (cause instanceof TooLongHttpContentException) {
                 failWith(pendingResponse, new ResponseTooLargeException(address, maxResponseBytes));
             }
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
@@ -10,6 +10,8 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -20,11 +22,13 @@
 import org.citrontide.core.gateway.AttemptOutcome;
 import org.citrontide.core.routes.ListedUpstream;
 import org.citrontide.core.verdict.Reason;
+import org.citrontide.gateway.http.BodyWriter;
 import org.citrontide.gateway.http.MalformedResponseException;
 import org.citrontide.gateway.http.ProbedSocketChannel;
 import org.citrontide.gateway.http.ResponseDecoder;
 import org.citrontide.gateway.http.UnexpectedBytes;
 import org.citrontide.platform.PlatformHeaders;
+import org.citrontide.runtime.eventloop.OutOfMemoryExit;
 import org.citrontide.runtime.log.EventLog;
 
 /**
@@ -58,6 +62,7 @@
     private final ListedUpstream upstream;
     private final long number;
     private ProbedSocketChannel channel;
+    private Optional<BodyWriter> writer = Optional.empty();
     private Optional<UpstreamAttempt> current = Optional.empty();
     private boolean usedBefore;
     private boolean isReused;
@@ -108,7 +113,19 @@
                         PlatformHeaders.REMAINING_MS,
                         Math.max(1, attempt.remaining(System.nanoTime()).toMillis()));
         decoder.expectResponseTo(attempt.request().method().name());
-        channel.writeAndFlush(attempt.request()).addListener(f -> handleWritten(attempt, f.isSuccess()));
+        write(attempt);
+    }
+
+    private void write(UpstreamAttempt attempt) {
+        FullHttpRequest request = attempt.request();
+        if (request.content().readableBytes() <= BodyWriter.WHOLE_BYTES) {
+            channel.writeAndFlush(request).addListener(f -> handleWritten(attempt, f.cause()));
+            return;
+        }
+        BodyWriter bodyWriter = new BodyWriter(channel, request.content(), failure -> handleWritten(attempt, failure));
+        writer = Optional.of(bodyWriter);
+        bodyWriter.begin(
+                new DefaultHttpRequest(request.protocolVersion(), request.method(), request.uri(), request.headers()));
     }
 
     /**
@@ -172,6 +189,11 @@
         failAttempt(Reason.CONNECTION_LOST);
     }
 
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        writer.ifPresent(BodyWriter::resume);
+    }
+
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
         if (event instanceof ChannelInputShutdownEvent) {
@@ -181,12 +203,16 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        OutOfMemoryExit.check(cause);
         ctx.close();
     }
 
     /** Closes the connection after a failed write, once the response that may have arrived before it has been read. */
-    private void handleWritten(UpstreamAttempt attempt, boolean isWritten) {
+    private void handleWritten(UpstreamAttempt attempt, Throwable failure) {
+        OutOfMemoryExit.check(failure);
+        boolean isWritten = failure == null;
         requestWritten = isWritten;
+        writer = Optional.empty();
         if (isWritten) {
             attempt.setWritten();
             pool.sendMonitor().recordWritten(attempt, System.nanoTime());
--- a/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
@@ -19,6 +19,7 @@
 import org.citrontide.gateway.daemon.GatewayDaemon;
 import org.citrontide.gateway.daemon.GatewaySettings;
 import org.citrontide.gateway.daemon.LocalitySettings;
+import org.citrontide.gateway.daemon.MemorySettings;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 
@@ -29,6 +30,15 @@
     static final ColdSettings COLD_SETTINGS = new ColdSettings(1.5, 5);
     static final int RESPONSE_MEMORY_BYTES = 16 * 1024 * 1024;
 
+    // The body times are shorter than the timeouts of the callers of these tests; other tests send whole requests.
+    private static final MemorySettings MEMORY = new MemorySettings(
+            16 * 1024 * 1024,
+            4 * 1024 * 1024,
+            Duration.ofSeconds(3),
+            Duration.ofSeconds(6),
+            1024,
+            Duration.ofMillis(200));
+
     private static final Duration RETRY_WINDOW = Duration.ofSeconds(10);
     private static final double LINK_MEGABITS_PER_SECOND = 1000;
     private static final Duration AWAIT_TIMEOUT = Duration.ofSeconds(20);
@@ -95,6 +105,7 @@
                         600,
                         10,
                         RESPONSE_MEMORY_BYTES,
+                        MEMORY,
                         LocalitySettings.NONE,
                         COLD_SETTINGS,
                         ControlCosts.NONE),
