Pass on evacuations that the watch brings, and keep the age of unchanged entries

An evacuation was known to the copy only, and after a 410 an older copy of a peer could be taken.

Besides: a full read or a peer's copy gave all entries a new time of receipt, so that an old entry ended a cold time that the upstream itself had told since. EntryTimes keeps the time at which a revision was first received.

--- a/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
@@ -23,6 +23,7 @@
 import org.citrontide.gateway.store.GroupStore;
 import org.citrontide.gateway.store.LeaderElection;
 import org.citrontide.gateway.store.PlatformClient;
+import org.citrontide.gateway.store.StoreListener;
 import org.citrontide.gateway.store.StoreMirror;
 import org.citrontide.platform.DecodeException;
 import org.citrontide.platform.MetadataStore;
@@ -34,7 +35,7 @@
  *
  * <p>Not thread-safe: confined to the event loop, except for {@link #isHolding}.
  */
-final class ControlPlane implements StoreMirror.Listener, LeaderElection.Listener {
+final class ControlPlane implements StoreListener, LeaderElection.Listener {
     // Each step of a map change waits for a tick, which delays the faster passes under the new map.
     private static final Duration LEADER_TICK = Duration.ofMillis(20);
     private static final Duration FOLLOWER_TICK = Duration.ofMillis(250);
--- /dev/null
+++ b/gateway/src/main/java/org/citrontide/gateway/store/EntryTimes.java
@@ -0,0 +1,34 @@
+package org.citrontide.gateway.store;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+
+import org.citrontide.platform.MetadataStore.Item;
+
+/**
+ * The times at which the present revisions of entries were first received.
+ *
+ * <p>Invariant: reading an unchanged entry again, in a full read or a copy of a peer, does not make it newer; else an
+ * old entry would replace what an upstream has said of itself since. Not thread-safe: confined to the event loop.
+ */
+final class EntryTimes {
+    private record Received(long revision, long nanos) {}
+
+    private final Map<String, Received> byKey = new HashMap<>();
+
+    /** Returns the monotonic time in ns at which this revision of an item was first received. */
+    long receivedNanos(Item i, long nowNanos) {
+        Received known = byKey.get(i.key());
+        if (known != null && known.revision() == i.revision()) {
+            return known.nanos();
+        }
+        byKey.put(i.key(), new Received(i.revision(), nowNanos));
+        return nowNanos;
+    }
+
+    /** Discards the times of all other keys. */
+    void retain(Set<String> keys) {
+        byKey.keySet().retainAll(keys);
+    }
+}
--- a/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
@@ -62,67 +62,15 @@
     private static final Duration PEER_TIMEOUT = Duration.ofMillis(500);
     private static final int OK = 200;
 
-    /** Receives the changes read from the store. */
-    public interface Listener {
-
-        /**
-         * Called when a higher version of the configuration was read.
-         *
-         * @param table the configuration
-         */
-        void configurationChanged(RoutingTable table);
-
-        /**
-         * Called when the list of upstreams was read or may have changed.
-         *
-         * @param upstreams all upstreams considered available
-         */
-        void upstreamsUpdated(List<ListedUpstream> upstreams);
-
-        /**
-         * Called when the leader key was read, written or removed.
-         *
-         * @param isHeld whether the key exists
-         */
-        void leaderKeyUpdated(boolean isHeld);
-
-        /**
-         * Called when the registrations of the gateways were read or changed.
-         *
-         * @param vms names of the VMs whose gateways are registered
-         */
-        void gatewaysUpdated(List<String> vms);
-
-        /**
-         * Called when the gateways' evidence on crashes was read or changed.
-         *
-         * @param items all items with evidence
-         */
-        void crashEvidenceUpdated(List<Item> items);
-
-        /**
-         * Called when the groups of the upstreams were read or changed.
-         *
-         * @param items all items with groups
-         */
-        void groupsUpdated(List<Item> items);
-
-        /**
-         * Called when the evacuated zones were read or changed, before the upstreams of the same read.
-         *
-         * @param zones names of all evacuated zones
-         */
-        void evacuationsUpdated(Set<String> zones);
-    }
-
     private final PlatformClient client;
     private final InetSocketAddress store;
     private final EventLoop loop;
     private final RandomGenerator random;
-    private final Listener listener;
+    private final StoreListener listener;
     private final MembershipView membership = new MembershipView();
     private final Set<String> loggedOnce = new HashSet<>();
     private final MirroredKeys keys = new MirroredKeys();
+    private final EntryTimes entryTimes = new EntryTimes();
     private final Map<String, Item> copy = new TreeMap<>();
     private final List<InetSocketAddress> peers;
     private final Duration watchPause;
@@ -153,7 +101,7 @@
             Duration changeLimit,
             EventLoop loop,
             RandomGenerator random,
-            Listener listener) {
+            StoreListener listener) {
         this.client = client;
         this.store = store;
         this.peers = List.copyOf(peers);
@@ -272,6 +220,7 @@
     private void handleFullRead(FullRead read) {
         copy.clear();
         read.items().forEach(i -> copy.put(i.key(), i));
+        entryTimes.retain(copy.keySet());
         List<ListedUpstream> upstreams = new ArrayList<>();
         for (Item i : read.items()) {
             if (i.key().equals(ConfigurationDecoder.KEY)) {
@@ -297,6 +246,9 @@
                 body -> {
                     MetadataStore.Changes changes = MetadataStore.decodeChanges(body);
                     changes.changes().stream().filter(this::isNews).forEach(this::handleChange);
+                    if (hasChange(changes, EvacuationDecoder.KEY_PREFIX)) {
+                        notifyListener("evacuations", () -> listener.evacuationsUpdated(evacuatedZones()));
+                    }
                     if (hasChange(changes, CrashEvidenceStore.PREFIX)) {
                         notifyListener(
                                 "crash-evidence",
@@ -309,7 +261,7 @@
                     if (hasExpired || !changes.changes().isEmpty()) {
                         notifyListener("upstreams", () -> listener.upstreamsUpdated(membership.upstreams()));
                     }
-                    revision = Optional.of(Math.max(after, changes.revision()));
+                    setRevision(Math.max(revision.orElse(after), changes.revision()));
                     schedule(watchPause);
                 },
                 this::handleWatchTooLarge);
@@ -382,7 +334,8 @@
 
     private Optional<ListedUpstream> decode(Item i) {
         try {
-            return Optional.of(UpstreamDecoder.decode(i.key(), i.value(), System.nanoTime()));
+            return Optional.of(
+                    UpstreamDecoder.decode(i.key(), i.value(), entryTimes.receivedNanos(i, System.nanoTime())));
         } catch (DecodeException e) {
             if (loggedOnce.add(i.key())) {
                 LOG.warn("upstream-entry-unusable")
--- a/gateway/src/test/java/org/citrontide/gateway/store/StoreMirrorEvacuationTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/store/StoreMirrorEvacuationTest.java
@@ -110,7 +110,7 @@
     }
 
     /** Records the sets of evacuated zones. */
-    private static final class RecordingListener implements StoreMirror.Listener {
+    private static final class RecordingListener implements StoreListener {
         private final List<Set<String>> evacuations = new CopyOnWriteArrayList<>();
 
         @Override
--- a/gateway/src/test/java/org/citrontide/gateway/store/StoreMirrorTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/store/StoreMirrorTest.java
@@ -111,7 +111,7 @@
         assertEquals(Duration.ofMillis(1200), StoreMirror.watchPause(Duration.ofSeconds(4)));
     }
 
-    private void startMirror(StoreMirror.Listener listener) {
+    private void startMirror(StoreListener listener) {
         EventLoop loop = loops.next();
         InetSocketAddress address = new InetSocketAddress("127.0.0.1", store.port());
         StoreMirror mirror = new StoreMirror(
@@ -138,7 +138,7 @@
     }
 
     /** Records the changes, and throws after every one of them. */
-    private static final class FailingListener implements StoreMirror.Listener {
+    private static final class FailingListener implements StoreListener {
         private final Set<String> upstreams = ConcurrentHashMap.newKeySet();
         private final List<Long> versions = new CopyOnWriteArrayList<>();
         private volatile List<String> latest = List.of();
