Let a request wait for its own turn without holding back its service

Found by a review. A retry that waits for a turn at a cold upstream blocked the queue of its whole service, also where others could go to warm upstreams of another region; it waited although its turn came too late for its caller, and was tried again at each event. A request now carries the time before which it can't be sent, and is refused at once if that is too late.

Also: requests count as held back only if no upstream accepts them; waiting requests are refused when an update of the list leaves them evacuated zones only; the late backlog of AdmissionQueue has a name of its own.

--- a/core/src/main/java/org/citrontide/core/gateway/AdmissionQueue.java
+++ b/core/src/main/java/org/citrontide/core/gateway/AdmissionQueue.java
@@ -133,6 +133,7 @@
     /** Ends the wait for rate limits, because an upstream may accept requests now. */
     void unblock() {
         blockedUntilNanos = OptionalLong.empty();
+        waiting.forEach(open -> open.notBeforeNanos = Long.MIN_VALUE);
     }
 
     /** Returns whether the caller of a request is certain to wait until a time. */
@@ -160,12 +161,13 @@
         if (isDown) {
             return tryProbe(nowNanos);
         }
-        return !isBlocked(nowNanos) && (!isHeldBack(request, nowNanos) || latePending < lateLimit.applyAsInt(nowNanos));
+        return !isBlocked(nowNanos)
+                && (!isLateBacklog(request, nowNanos) || latePending < lateLimit.applyAsInt(nowNanos));
     }
 
     /** Records that an attempt of a request was sent. */
     void recordSent(OpenGatewayRequest.Attempt attempt, GatewayRequest request, long nowNanos) {
-        attempt.isLatePending = isHeldBack(request, nowNanos);
+        attempt.isLatePending = isLateBacklog(request, nowNanos);
         latePending += attempt.isLatePending ? 1 : 0;
     }
 
@@ -213,10 +215,13 @@
         List<OpenGatewayRequest> sendable = new ArrayList<>();
         int room = lateLimit.applyAsInt(nowNanos) - latePending;
         for (OpenGatewayRequest open : waiting) {
-            boolean isHeldBack = isHeldBack(open.request, nowNanos);
-            if (!isHeldBack || room > 0) {
+            if (nowNanos < open.notBeforeNanos) {
+                continue;
+            }
+            boolean isLateBacklog = isLateBacklog(open.request, nowNanos);
+            if (!isLateBacklog || room > 0) {
                 sendable.add(open);
-                room -= isHeldBack ? 1 : 0;
+                room -= isLateBacklog ? 1 : 0;
             }
         }
         sendable.forEach(waiting::remove);
@@ -246,7 +251,7 @@
     }
 
     /** Returns whether a request is late and part of the backlog of an outage; at other times late requests are few. */
-    private boolean isHeldBack(GatewayRequest request, long nowNanos) {
+    private boolean isLateBacklog(GatewayRequest request, long nowNanos) {
         boolean hasBacklog = hadOutage && nowNanos - recoveredNanos < BACKLOG_PERIOD.toNanos();
         return hasBacklog && request.route().isStreaming() && request.isLate(nowNanos);
     }
--- a/core/src/main/java/org/citrontide/core/gateway/ColdTurnQueue.java
+++ b/core/src/main/java/org/citrontide/core/gateway/ColdTurnQueue.java
@@ -28,7 +28,8 @@
 
     /** Returns whether cold upstreams alone keep a request from being sent, and reports the first time that they do. */
     boolean recordHeldBack(OpenGatewayRequest open) {
-        boolean isHeldBack = state.placement.isHeldBack(open, nowNanos);
+        boolean isHeldBack = state.placement.isHeldBack(open, nowNanos)
+                && state.placement.select(open, nowNanos).isEmpty();
         if (isHeldBack && !open.isHeldBack) {
             open.isHeldBack = true;
             actions.add(new GatewayAction.ReportHeldBack(open.request));
@@ -38,16 +39,17 @@
 
     /** Queues a request whose next attempt waits for a turn; returns false if it can't wait. */
     boolean tryQueue(OpenGatewayRequest open) {
-        if (open.attemptCount >= open.request.route().maxAttempts()
-                || !recordHeldBack(open)
-                || state.placement.select(open, nowNanos).isPresent()) {
+        if (open.attemptCount >= open.request.route().maxAttempts() || !recordHeldBack(open)) {
             return false;
         }
         OptionalLong openNanos = state.placement.nextOpenNanos(open, nowNanos);
-        if (openNanos.isEmpty() || state.services.of(open).isWaitFutile(open, nowNanos)) {
+        if (openNanos.isEmpty()
+                || !queue(open).canWaitUntil(open, openNanos.getAsLong())
+                || state.services.of(open).isWaitFutile(open, nowNanos)) {
             return false;
         }
-        queue(open).blockUntil(openNanos.getAsLong());
+        // Only this request waits: the upstreams that it was sent to already may be open to others.
+        open.notBeforeNanos = openNanos.getAsLong();
         return queue(open).tryEnqueue(open, nowNanos);
     }
 
--- a/core/src/main/java/org/citrontide/core/gateway/DispatchHandler.java
+++ b/core/src/main/java/org/citrontide/core/gateway/DispatchHandler.java
@@ -82,7 +82,9 @@
             return;
         }
         // The upstreams of other regions may be open to the other requests of the service.
-        if (!open.request.isRegional()) {
+        if (open.request.isRegional()) {
+            open.notBeforeNanos = openNanos.getAsLong();
+        } else {
             queue(open).blockUntil(openNanos.getAsLong());
         }
         waitOrFail(open);
@@ -101,6 +103,18 @@
         if (state.coldUpstreams.hasRules()) {
             state.services.all().forEach(s -> s.queue.unblock());
         }
+        if (state.placement.isAnyZoneEvacuated()) {
+            refuseExcluded();
+        }
+    }
+
+    /** Refuses the requests without an attempt to which the evacuated zones leave no upstream. */
+    private void refuseExcluded() {
+        for (OpenGatewayRequest open : List.copyOf(state.openById.values())) {
+            if (open.attempt.isEmpty() && open.awaitedCheck.isEmpty() && state.placement.isExcluded(open)) {
+                fail(open, Reason.NO_UPSTREAM);
+            }
+        }
     }
 
     private void sendWaiting(AdmissionQueue queue) {
@@ -233,15 +247,11 @@
     void handleEvacuatedZones(Set<String> zones) {
         state.placement.setEvacuatedZones(zones);
         for (OpenGatewayRequest open : List.copyOf(state.openById.values())) {
-            if (open.attempt.isPresent()) {
-                OpenGatewayRequest.Attempt attempt = open.attempt.get();
-                if (!attempt.isStarted && state.placement.isInEvacuatedZone(attempt.upstream)) {
-                    actions.add(new GatewayAction.WithdrawAttempt(attempt.number));
-                }
-            } else if (open.awaitedCheck.isEmpty() && state.placement.isExcluded(open)) {
-                fail(open, Reason.NO_UPSTREAM);
-            }
+            open.attempt
+                    .filter(attempt -> !attempt.isStarted && state.placement.isInEvacuatedZone(attempt.upstream))
+                    .ifPresent(attempt -> actions.add(new GatewayAction.WithdrawAttempt(attempt.number)));
         }
+        refuseExcluded();
     }
 
     /** Ends a request whose prompt has a quarantined part; returns whether it has one. */
--- a/core/src/main/java/org/citrontide/core/gateway/OpenGatewayRequest.java
+++ b/core/src/main/java/org/citrontide/core/gateway/OpenGatewayRequest.java
@@ -70,6 +70,9 @@
     /** Whether the limits of cold upstreams hold, or held, the request back; doesn't change while it is queued. */
     boolean isHeldBack;
 
+    /** Time in ns before which no upstream accepts the request, although some may accept others of its service. */
+    long notBeforeNanos = Long.MIN_VALUE;
+
     /** Reason why an earlier attempt may have run, empty if none may have. */
     Optional<Reason> mayHaveRunReason = Optional.empty();
 
--- a/core/src/main/java/org/citrontide/core/gateway/UpstreamPlacement.java
+++ b/core/src/main/java/org/citrontide/core/gateway/UpstreamPlacement.java
@@ -50,7 +50,8 @@
             return selector.nextOpenNanos(eligible(open), open.triedIds, nowNanos);
         }
         return eligible(open).stream()
-                .filter(u -> !u.entry().isDraining())
+                .filter(u -> !u.entry().isDraining()
+                        && !open.triedIds.contains(u.entry().id()))
                 .mapToLong(u -> Math.max(
                         u.nextOpenNanos(selector.slots(), nowNanos), coldUpstreams.nextOpenNanos(u.entry(), nowNanos)))
                 .min();
@@ -93,6 +94,10 @@
         return locality.isEvacuated(upstream.entry().zone());
     }
 
+    boolean isAnyZoneEvacuated() {
+        return locality.isAnyZoneEvacuated();
+    }
+
     /** Returns whether the zones and regions of the upstreams leave a request none that accepts new requests. */
     boolean isExcluded(OpenGatewayRequest open) {
         List<UpstreamState> eligible = eligible(open);
--- a/core/src/main/java/org/citrontide/core/locality/LocalityPolicy.java
+++ b/core/src/main/java/org/citrontide/core/locality/LocalityPolicy.java
@@ -34,6 +34,15 @@
         evacuatedZones = Set.copyOf(zones);
     }
 
+    /**
+     * Returns whether any zone is evacuated.
+     *
+     * @return true if a zone gets no requests
+     */
+    public boolean isAnyZoneEvacuated() {
+        return !evacuatedZones.isEmpty();
+    }
+
     /**
      * Returns whether a zone is evacuated.
      *
