--- a/core/src/main/java/org/citrontide/core/memory/MemoryAccount.java
+++ b/core/src/main/java/org/citrontide/core/memory/MemoryAccount.java
@@ -10,6 +10,7 @@
     private long totalBytes;
     private long refusableBytes;
     private long sinceNanos;
+    private long closedBytes;
     private boolean isClosed;
 
     MemoryAccount(MemoryOwner owner, long maxBytes) {
@@ -45,6 +46,15 @@
         return totalBytes;
     }
 
+    /**
+     * Returns the memory that the account held when it was closed or refused.
+     *
+     * @return number of bytes, 0 if it is open
+     */
+    public long closedBytes() {
+        return closedBytes;
+    }
+
     /**
      * Returns whether the account has been closed or refused.
      *
@@ -73,7 +83,8 @@
         totalBytes += change;
     }
 
-    void setClosed() {
+    void setClosed(long bytes) {
+        closedBytes = bytes;
         isClosed = true;
     }
 
--- a/core/src/main/java/org/citrontide/core/memory/MemoryLedger.java
+++ b/core/src/main/java/org/citrontide/core/memory/MemoryLedger.java
@@ -124,10 +124,11 @@
         if (account.isClosed()) {
             return;
         }
+        long bytes = account.totalBytes();
         for (MemoryHolder h : MemoryHolder.values()) {
             change(account, h, -account.bytes(h), 0);
         }
-        account.setClosed();
+        account.setClosed(bytes);
         accounts.remove(account);
     }
 
--- a/gateway/src/main/java/org/citrontide/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/caller/CallerConnection.java
@@ -261,10 +261,8 @@
     }
 
     /** Closes the connection because its caller doesn't read the response. */
-    void closeUnread(MemoryBound bound) {
-        server.memoryGuard()
-                .recordRefusedCaller(
-                        "unread-" + bound.key(), false, channel.remoteAddress(), channel.bytesBeforeWritable());
+    void closeUnread(MemoryBound bound, long bytes) {
+        server.memoryGuard().recordRefusedCaller("unread-" + bound.key(), false, channel.remoteAddress(), bytes);
         channel.close();
     }
 
@@ -403,7 +401,7 @@
             unwrittenResponses--;
             server.responseWritten();
         }
-        if (!closing) {
+        if (!closing && channel.isActive()) {
             dispatchNext();
         }
     }
@@ -440,9 +438,7 @@
             return;
         }
         boolean isAnswered = isAnswerable();
-        server.memoryGuard()
-                .recordRefusedCaller(
-                        reason, isAnswered, channel.remoteAddress(), memory.waitingBytes() + memory.incompleteBytes());
+        server.memoryGuard().recordRefusedCaller(reason, isAnswered, channel.remoteAddress(), memory.totalBytes());
         reject(status);
     }
 
--- a/gateway/src/main/java/org/citrontide/gateway/caller/CallerOutput.java
+++ b/gateway/src/main/java/org/citrontide/gateway/caller/CallerOutput.java
@@ -81,7 +81,7 @@
         large = Optional.empty();
     }
 
-    private static void refuse(CallerConnection connection, MemoryBound bound) {
-        connection.closeUnread(bound);
+    private void refuse(CallerConnection connection, MemoryBound bound) {
+        connection.closeUnread(bound, account.closedBytes());
     }
 }
--- a/gateway/src/main/java/org/citrontide/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/org/citrontide/gateway/caller/CallerServer.java
@@ -50,7 +50,9 @@
     private final Set<CallerConnection> pressed = new HashSet<>();
     private StrictRequestDecoder headDecoder = new StrictRequestDecoder(CallerLimits.INITIAL.headerBytes());
     private int headDecoderBytes = CallerLimits.INITIAL.headerBytes();
+    private final Runnable pressureCheck = new GuardedTask("caller-memory", this::checkPressure);
     private long pressedSinceNanos;
+    private boolean isPressureCheckDue;
     private final Set<CallerConnection> openConnections = new HashSet<>();
     private final AtomicInteger unwrittenResponses = new AtomicInteger();
 
@@ -106,12 +108,6 @@
         if (!bindFuture.isSuccess()) {
             throw new IOException("can't listen for callers on " + address, bindFuture.cause());
         }
-        loop.next()
-                .scheduleAtFixedRate(
-                        new GuardedTask("caller-memory", this::checkPressure),
-                        PRESSURE_INTERVAL.toMillis(),
-                        PRESSURE_INTERVAL.toMillis(),
-                        TimeUnit.MILLISECONDS);
         loop.next()
                 .scheduleAtFixedRate(
                         new GuardedTask("caller-timeouts", this::checkTimeouts),
@@ -166,6 +162,14 @@
             pressed.remove(connection);
         } else if (pressed.add(connection) && pressed.size() == 1) {
             pressedSinceNanos = System.nanoTime();
+            schedulePressureCheck();
+        }
+    }
+
+    private void schedulePressureCheck() {
+        if (!isPressureCheckDue) {
+            isPressureCheckDue = true;
+            loop.next().schedule(pressureCheck, PRESSURE_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
         }
     }
 
@@ -201,7 +205,7 @@
 
     /** Goes on reading once there is memory again, and refuses a caller if that takes too long. */
     private void checkPressure() {
-        memoryGuard.recordState();
+        isPressureCheckDue = false;
         if (pressed.isEmpty()) {
             return;
         }
@@ -209,9 +213,13 @@
             memoryGuard.relieve();
         }
         List.copyOf(pressed).forEach(CallerConnection::updateReading);
+        if (!pressed.isEmpty()) {
+            schedulePressureCheck();
+        }
     }
 
     private void checkTimeouts() {
+        memoryGuard.recordState();
         long nowNanos = System.nanoTime();
         List.copyOf(openConnections).forEach(connection -> connection.checkTimeouts(limits.get(), nowNanos));
     }
--- a/gateway/src/main/java/org/citrontide/gateway/caller/ConnectionMemory.java
+++ b/gateway/src/main/java/org/citrontide/gateway/caller/ConnectionMemory.java
@@ -50,6 +50,11 @@
         return headBytes + bodyBytes;
     }
 
+    /** Returns the memory of all requests, also after the account was refused. */
+    long totalBytes() {
+        return account.isClosed() ? account.closedBytes() : account.totalBytes();
+    }
+
     void close() {
         guard.close(account);
     }
--- a/gateway/src/main/java/org/citrontide/gateway/memory/LoopLagMonitor.java
+++ b/gateway/src/main/java/org/citrontide/gateway/memory/LoopLagMonitor.java
@@ -20,7 +20,8 @@
     private static final EventLog LOG = EventLog.of(LoopLagMonitor.class);
     private static final double[] BUCKET_BOUNDS_SECONDS = {0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2};
     private static final double NANOS_PER_SECOND = 1e9;
-    private static final Duration INTERVAL = Duration.ofMillis(100);
+    // Each measurement wakes the event loop, which costs processor time; a longer lag than this is always noticed.
+    private static final Duration INTERVAL = Duration.ofMillis(250);
     private static final int LINES_PER_SECOND = 1;
 
     private final EventLoop loop;
