Place requests by the work that they are expected to cause

Cause: the load of an upstream was its number of requests in flight, and its latency the mean of its last responses, however large they were. Two long prompts in one pass of a rank delay all streams of the group beyond 120 ms, and the mean duration of ten streams tells their lengths and not the speed of the rank.

core.costing estimates the cost of a request from its token counts and from what its route and team have cost, and the work left at each upstream from the events and the time since. The other factors are kept. Off unless PlacementSettings ask for it. The choice among counted requests is unchanged; a decision takes less time because the selector no longer creates a stream.

Ruled out: replacing the count alone.

--- a/core/src/main/java/org/citrontide/core/gateway/DispatchHandler.java
+++ b/core/src/main/java/org/citrontide/core/gateway/DispatchHandler.java
@@ -163,7 +163,7 @@
         open.triedIds.add(upstream.entry().id());
         open.attemptCount++;
         state.byAttempt.put(number, open);
-        state.placement.recordSent(upstream, nowNanos);
+        state.placement.recordSent(open, nowNanos);
         queue(open).recordSent(open.attempt.get(), request, nowNanos);
         actions.add(open.sendAction(remaining, nowNanos));
     }
@@ -197,7 +197,7 @@
         state.crashGuard.recordProgress(open.request, attempt, nowNanos, actions);
         open.isResponseStarted |= progress.isResponseStarted();
         attempt.progressNanos = nowNanos;
-        attempt.upstream.recordProgress(nowNanos);
+        state.placement.recordProgress(open, nowNanos);
         recordResponse(attempt);
         if (open.isResponseStarted) {
             queue(open).recordSettled(attempt);
@@ -310,7 +310,7 @@
     }
 
     private void recordOutcome(OpenGatewayRequest open, OpenGatewayRequest.Attempt attempt, AttemptOutcome outcome) {
-        attempt.upstream.recordOutcome(outcome, attempt.sentNanos, nowNanos);
+        state.placement.recordOutcome(open, attempt, outcome, nowNanos);
         if (outcome instanceof AttemptOutcome.Completed c) {
             if (c.isSuccess()) {
                 state.crashGuard.recordAnswer(open.request, attempt, nowNanos, actions);
@@ -439,7 +439,7 @@
     private void release(OpenGatewayRequest open, OpenGatewayRequest.Attempt attempt) {
         state.byAttempt.remove(attempt.number);
         open.attempt = Optional.empty();
-        attempt.upstream.recordAttemptEnded(attempt.isStarted);
+        state.placement.recordEnded(open, attempt);
         queue(open).recordSettled(attempt);
     }
 
@@ -463,6 +463,7 @@
         }
         state.services.all().forEach(s -> tick(s.queue));
         actions.addAll(state.groupHealth.tick(state.registry, nowNanos));
+        actions.addAll(state.placement.pollReports());
         state.crashGuard.tick(nowNanos, actions);
     }
 
--- a/core/src/main/java/org/citrontide/core/gateway/DispatchState.java
+++ b/core/src/main/java/org/citrontide/core/gateway/DispatchState.java
@@ -9,6 +9,8 @@
 import java.util.random.RandomGenerator;
 
 import org.citrontide.core.capacity.LateRequestLimit;
+import org.citrontide.core.costing.PlacementSettings;
+import org.citrontide.core.costing.WorkEstimator;
 import org.citrontide.core.locality.LocalityPolicy;
 import org.citrontide.core.routes.ListedUpstream;
 import org.citrontide.core.warmup.ColdSettings;
@@ -19,6 +21,7 @@
     final UpstreamRegistry registry = new UpstreamRegistry();
     final GroupHealth groupHealth = new GroupHealth();
     final ColdUpstreams coldUpstreams;
+    final WorkEstimator workEstimator;
     final UpstreamPlacement placement;
     final RetryAfterPolicy retryAfterPolicy;
     final LateRequestLimit lateRequestLimit = new LateRequestLimit();
@@ -36,10 +39,12 @@
             LocalityPolicy locality,
             Supplier<GatewayRetryBudget> retryBudgetFactory,
             RandomGenerator random,
-            ColdSettings coldSettings) {
+            ColdSettings coldSettings,
+            PlacementSettings placementSettings) {
         this.coldUpstreams = new ColdUpstreams(coldSettings, random);
+        this.workEstimator = new WorkEstimator(placementSettings);
         this.placement = new UpstreamPlacement(
-                registry, locality, groupHealth, new UpstreamSelector(zone, random), coldUpstreams);
+                registry, locality, groupHealth, new UpstreamSelector(zone, random), coldUpstreams, workEstimator);
         this.retryAfterPolicy = new RetryAfterPolicy(random);
         this.services = new ServiceStates(retryBudgetFactory, lateRequestLimit, registry::inFlight);
     }
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayAction.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayAction.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 
+import org.citrontide.core.costing.PlacementReport;
 import org.citrontide.core.quarantine.CrashEvidence;
 import org.citrontide.core.quarantine.PromptQuarantine;
 import org.citrontide.core.routes.ListedUpstream;
@@ -152,6 +153,13 @@
      */
     record ReportHeldBack(GatewayRequest request) implements GatewayAction {}
 
+    /**
+     * Reports why a request was placed where it was. Occurs at most every few seconds for a service.
+     *
+     * @param report the placement, and how well costs were predicted
+     */
+    record ReportPlacement(PlacementReport report) implements GatewayAction {}
+
     /**
      * Checks whether an upstream crashed, by opening a connection to it. The result is an event.
      *
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
@@ -6,6 +6,7 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
+import org.citrontide.core.costing.PlacementSettings;
 import org.citrontide.core.locality.LocalityPolicy;
 import org.citrontide.core.verdict.Verdict;
 import org.citrontide.core.warmup.ColdSettings;
@@ -40,7 +41,7 @@
      * @param random source of randomness for upstream selection and for the jitter of retry delays
      */
     public GatewayDispatcher(String zone, Supplier<GatewayRetryBudget> retryBudgetFactory, RandomGenerator random) {
-        this(zone, Map.of(), retryBudgetFactory, random, ColdSettings.STRICT);
+        this(zone, Map.of(), retryBudgetFactory, random, ColdSettings.STRICT, PlacementSettings.COUNTED);
     }
 
     /**
@@ -58,8 +59,28 @@
             Supplier<GatewayRetryBudget> retryBudgetFactory,
             RandomGenerator random,
             ColdSettings coldSettings) {
-        this.state =
-                new DispatchState(zone, new LocalityPolicy(regionByZone), retryBudgetFactory, random, coldSettings);
+        this(zone, regionByZone, retryBudgetFactory, random, coldSettings, PlacementSettings.COUNTED);
+    }
+
+    /**
+     * Creates a dispatcher without upstreams.
+     *
+     * @param zone the gateway's availability zone
+     * @param regionByZone region of each zone whose region is known
+     * @param retryBudgetFactory factory of the retry budget of each service
+     * @param random source of randomness for upstream selection and for the jitter of retry delays
+     * @param coldSettings excess that is allowed over the rates of cold upstreams
+     * @param placementSettings how the load of upstreams is estimated
+     */
+    public GatewayDispatcher(
+            String zone,
+            Map<String, String> regionByZone,
+            Supplier<GatewayRetryBudget> retryBudgetFactory,
+            RandomGenerator random,
+            ColdSettings coldSettings,
+            PlacementSettings placementSettings) {
+        this.state = new DispatchState(
+                zone, new LocalityPolicy(regionByZone), retryBudgetFactory, random, coldSettings, placementSettings);
     }
 
     /**
@@ -88,6 +109,7 @@
             case GatewayEvent.ColdReported c ->
                 state.coldUpstreams.recordResponse(c.upstream(), c.remaining(), nowNanos);
             case GatewayEvent.ColdRulesUpdated u -> state.coldUpstreams.setRules(u.byService(), nowNanos);
+            case GatewayEvent.EngineProfilesUpdated u -> state.workEstimator.setEngines(u.byService());
             case GatewayEvent.TurnsUpdated u -> state.coldUpstreams.setOrder(u.order(), nowNanos);
             case GatewayEvent.ZonesReturned z -> state.coldUpstreams.recordReturn(z.zones(), nowNanos);
             case GatewayEvent.SlotsUpdated u -> state.setSlots(u.slots());
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayEvent.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayEvent.java
@@ -8,6 +8,7 @@
 
 import org.citrontide.core.quarantine.CrashEvidence;
 import org.citrontide.core.routes.ColdRule;
+import org.citrontide.core.routes.EngineProfile;
 import org.citrontide.core.routes.ListedUpstream;
 import org.citrontide.core.warmup.TurnOrder;
 
@@ -65,6 +66,19 @@
         }
     }
 
+    /**
+     * The performance of the engines changed.
+     *
+     * @param byService profile by service, without the services that have none
+     */
+    record EngineProfilesUpdated(Map<String, EngineProfile> byService) implements GatewayEvent {
+
+        /** Copies the map. */
+        public EngineProfilesUpdated {
+            byService = Map.copyOf(byService);
+        }
+    }
+
     /**
      * The order changed in which the gateways take turns at cold upstreams.
      *
--- a/core/src/main/java/org/citrontide/core/gateway/OpenGatewayRequest.java
+++ b/core/src/main/java/org/citrontide/core/gateway/OpenGatewayRequest.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.citrontide.core.costing.PendingWork;
 import org.citrontide.core.verdict.Reason;
 import org.citrontide.core.verdict.Verdict;
 
@@ -58,6 +59,9 @@
     final Set<String> triedIds = new HashSet<>();
     Optional<Attempt> attempt = Optional.empty();
 
+    /** Work of the last attempt, empty before the first. */
+    Optional<PendingWork> work = Optional.empty();
+
     /** Number of attempts, without those whose upstream was unreachable. */
     int attemptCount;
 
--- a/core/src/main/java/org/citrontide/core/gateway/UpstreamSelector.java
+++ b/core/src/main/java/org/citrontide/core/gateway/UpstreamSelector.java
@@ -7,6 +7,8 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
+import org.citrontide.core.costing.WorkEstimate;
+
 /**
  * Selects the upstream of an attempt: the one with the lowest cost, with random tie-breaking.
  *
@@ -38,24 +40,21 @@
      *
      * @param upstreams upstreams of the service
      * @param triedIds identities of the upstreams that this request was already sent to
+     * @param estimate estimates the load of an upstream that gets the request
      * @param nowNanos monotonic time in ns
      * @return the selected upstream, or empty if none accepts requests
      */
-    public Optional<UpstreamState> select(List<UpstreamState> upstreams, Set<String> triedIds, long nowNanos) {
+    public Optional<UpstreamState> select(
+            List<UpstreamState> upstreams, Set<String> triedIds, WorkEstimate estimate, long nowNanos) {
         List<UpstreamState> candidates = new ArrayList<>();
         double lowestCost = Double.POSITIVE_INFINITY;
-        double baselineLatencyMs = upstreams.stream()
-                .mapToDouble(UpstreamState::latencyMs)
-                .filter(Double::isFinite)
-                .min()
-                .orElse(0);
+        double baselineLatencyMs = lowestLatencyMs(upstreams);
         for (UpstreamState u : upstreams) {
-            boolean isOpen = u.isAccepting(nowNanos) && !u.isRateLimited(slots, nowNanos);
-            if (!isOpen || triedIds.contains(u.entry().id())) {
+            if (!u.isOpen(slots, nowNanos) || triedIds.contains(u.entry().id())) {
                 continue;
             }
             double zoneFactor = u.entry().zone().equals(zone) ? 1 : CROSS_ZONE_COST_FACTOR;
-            double cost = u.cost(baselineLatencyMs, nowNanos) * zoneFactor;
+            double cost = u.cost(estimate, baselineLatencyMs, nowNanos) * zoneFactor;
             if (cost < lowestCost) {
                 candidates.clear();
                 lowestCost = cost;
@@ -67,6 +66,17 @@
         return candidates.isEmpty() ? Optional.empty() : Optional.of(candidates.get(random.nextInt(candidates.size())));
     }
 
+    private static double lowestLatencyMs(List<UpstreamState> upstreams) {
+        double lowest = Double.POSITIVE_INFINITY;
+        for (UpstreamState u : upstreams) {
+            double latencyMs = u.latencyMs();
+            if (latencyMs < lowest) {
+                lowest = latencyMs;
+            }
+        }
+        return Double.isFinite(lowest) ? lowest : 0;
+    }
+
     /**
      * Returns when an upstream accepts the next request, if rate limits are the reason why none does now.
      *
--- a/core/src/main/java/org/citrontide/core/gateway/UpstreamState.java
+++ b/core/src/main/java/org/citrontide/core/gateway/UpstreamState.java
@@ -4,6 +4,9 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 
+import org.citrontide.core.costing.PendingWork;
+import org.citrontide.core.costing.UpstreamWork;
+import org.citrontide.core.costing.WorkEstimate;
 import org.citrontide.core.routes.ListedUpstream;
 
 /**
@@ -16,7 +19,6 @@
     // Weight of a new sample in the moving averages, which cover about the last ten attempts.
     private static final double SAMPLE_WEIGHT = 0.2;
     private static final double MIN_HEALTH = 0.05;
-    private static final double NANOS_PER_MS = 1e6;
     // An upstream without failures has full health again after a few multiples of this time.
     private static final long HEALTH_RECOVERY_NANOS = Duration.ofSeconds(3).toNanos();
     private static final long ACTIVITY_WINDOW_NANOS = Duration.ofMillis(300).toNanos();
@@ -31,6 +33,7 @@
     // What a rate limit permits lapses unused, and only the responses of the upstream can lift the limit.
     private static final double OPEN_LIMIT_COST_FACTOR = 0.5;
 
+    private final UpstreamWork work = new UpstreamWork();
     private ListedUpstream entry;
     private int inFlight;
     private int started;
@@ -69,10 +72,19 @@
         return inFlight;
     }
 
+    UpstreamWork work() {
+        return work;
+    }
+
     boolean isAccepting(long nowNanos) {
         return !entry.isDraining() && !isPaused(nowNanos);
     }
 
+    /** Returns whether a request may be sent now. */
+    boolean isOpen(SendSlots slots, long nowNanos) {
+        return isAccepting(nowNanos) && (rateLimit.isEmpty() || limitOpenNanos(slots, nowNanos) <= nowNanos);
+    }
+
     boolean isPaused(long nowNanos) {
         return hasPause && nowNanos < pausedUntilNanos;
     }
@@ -108,13 +120,14 @@
         return !previous.map(UpstreamRateLimit::perSecond).equals(rateLimit.map(UpstreamRateLimit::perSecond));
     }
 
-    /** Estimates the cost of one more request, in units of the mean latency of a single request on a slot. */
-    double cost(double baselineLatencyMs, long nowNanos) {
+    /** Estimates the cost of one more request, relative to its cost at other upstreams. */
+    double cost(WorkEstimate estimate, double baselineLatencyMs, long nowNanos) {
         double relativeLatency = hasLatency && baselineLatencyMs > 0 ? Math.max(1, latencyMs / baselineLatencyMs) : 1;
         // Squared because a slow member also delays the other members of its group.
         double groupPenalty = reportedSlowness * reportedSlowness;
         double limitFactor = rateLimit.isPresent() ? OPEN_LIMIT_COST_FACTOR : 1;
-        return (inFlight + 1.0) / entry.slots() * relativeLatency * groupPenalty * limitFactor / health(nowNanos);
+        double load = estimate.loadWith(work, nowNanos);
+        return load / entry.slots() * relativeLatency * groupPenalty * limitFactor / health(nowNanos);
     }
 
     /** Records the slowness that the upstream reports, relative to a healthy one. */
@@ -149,7 +162,8 @@
         entry = newEntry;
     }
 
-    void recordAttemptSent(SendSlots slots, long nowNanos) {
+    void recordAttemptSent(PendingWork sent, SendSlots slots, long nowNanos) {
+        work.add(sent);
         inFlight++;
         rateLimit.ifPresent(limit -> limit.recordSent(slots, nowNanos));
     }
@@ -164,7 +178,8 @@
         started++;
     }
 
-    void recordAttemptEnded(boolean wasStarted) {
+    void recordAttemptEnded(PendingWork ended, boolean wasStarted) {
+        work.remove(ended);
         inFlight--;
         started -= wasStarted ? 1 : 0;
     }
@@ -174,10 +189,10 @@
         return started > 0;
     }
 
-    /** Records the outcome of an attempt that was sent at the given time. */
-    void recordOutcome(AttemptOutcome outcome, long sentNanos, long nowNanos) {
+    /** Records the outcome of an attempt, with the latency of the upstream if its response is complete. */
+    void recordOutcome(AttemptOutcome outcome, double millis, long nowNanos) {
         switch (outcome) {
-            case AttemptOutcome.Completed c -> recordSuccess((nowNanos - sentNanos) / NANOS_PER_MS, nowNanos);
+            case AttemptOutcome.Completed c -> recordSuccess(millis, nowNanos);
             case AttemptOutcome.Failed f -> recordFailure(nowNanos);
             case AttemptOutcome.Broken b -> recordFailure(nowNanos);
             case AttemptOutcome.Unreached u -> recordUnreachable(nowNanos);
--- a/core/src/main/java/org/citrontide/core/routes/RoutingTable.java
+++ b/core/src/main/java/org/citrontide/core/routes/RoutingTable.java
@@ -119,6 +119,17 @@
         return rules;
     }
 
+    /**
+     * Returns the performance of the engines.
+     *
+     * @return engine profile by service, without the services that have none
+     */
+    public Map<String, EngineProfile> engines() {
+        Map<String, EngineProfile> engines = new HashMap<>();
+        services.forEach((name, s) -> s.engine().ifPresent(e -> engines.put(name, e)));
+        return engines;
+    }
+
     /**
      * Returns the shortest target gap between events among the routes of a service.
      *
--- a/core/src/test/java/org/citrontide/core/gateway/CrashingPromptSimulation.java
+++ b/core/src/test/java/org/citrontide/core/gateway/CrashingPromptSimulation.java
@@ -255,6 +255,7 @@
                 case GatewayAction.DeliverResponse d -> g.open.remove(d.request()).isOver = true;
                 case GatewayAction.RefuseRequest r -> refused(g.open.remove(r.request()), r.verdict());
                 case GatewayAction.AbortResponse b -> g.open.remove(b.request()).isOver = true;
+                case GatewayAction.ReportPlacement p -> throw new AssertionError("requests are counted");
                 case GatewayAction.ReportRateLimit l -> throw new AssertionError("no upstream has named a limit");
                 case GatewayAction.CheckUpstream c ->
                     schedule(
--- a/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherFaultTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherFaultTest.java
@@ -229,6 +229,7 @@
                         // Not checked here.
                     }
                     case GatewayAction.ReportGroupState n -> groupStateChanges++;
+                    case GatewayAction.ReportPlacement p -> throw new AssertionError("requests are counted");
                     case GatewayAction.ReportRateLimit l -> throw new AssertionError("no upstream has named a limit");
                     case GatewayAction.CheckUpstream c -> pendingChecks.add(c.upstream());
                     case GatewayAction.PublishEvidence p -> {
--- a/core/src/test/java/org/citrontide/core/gateway/GroupOutageSimulation.java
+++ b/core/src/test/java/org/citrontide/core/gateway/GroupOutageSimulation.java
@@ -340,6 +340,7 @@
                 case GatewayAction.ReportGroupState n -> {
                     // Affects only the log.
                 }
+                case GatewayAction.ReportPlacement p -> throw new AssertionError("requests are counted");
                 case GatewayAction.ReportRateLimit l -> throw new AssertionError("no upstream has named a limit");
                 case GatewayAction.CheckUpstream c -> throw new AssertionError("no prompt has a shared part");
                 case GatewayAction.PublishEvidence c -> throw new AssertionError("no upstream was checked");
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayMetrics.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayMetrics.java
@@ -39,6 +39,7 @@
     private final Gauge evacuatedZonesGauge;
     private final SendMonitor sendMonitor;
     private final ColdReports coldReports;
+    private final PlacementReports placementReports;
 
     /**
      * Registers the metrics.
@@ -78,12 +79,17 @@
                 gauge(registry, "citrontide_gateway_evacuated_zones", "Zones whose upstreams get no requests by order");
         sendMonitor = new SendMonitor(registry);
         coldReports = new ColdReports(registry);
+        placementReports = new PlacementReports(registry);
     }
 
     ColdReports coldReports() {
         return coldReports;
     }
 
+    PlacementReports placementReports() {
+        return placementReports;
+    }
+
     SendMonitor sendMonitor() {
         return sendMonitor;
     }
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
@@ -136,6 +136,7 @@
     public void setRoutingTable(RoutingTable newTable) {
         table = newTable;
         handle(new GatewayEvent.ColdRulesUpdated(newTable.coldRules()));
+        handle(new GatewayEvent.EngineProfilesUpdated(newTable.engines()));
     }
 
     /**
@@ -357,6 +358,8 @@
                 case GatewayAction.ReportGroupState n -> reportGroupState(n);
                 case GatewayAction.ReportGroupAvailability a -> log.logGroupAvailability(a);
                 case GatewayAction.ReportRateLimit l -> log.logRateLimit(l);
+                case GatewayAction.ReportPlacement p ->
+                    metrics.placementReports().report(p.report());
                 case GatewayAction.ReportCold c -> coldReports.reportCold(c.change());
                 case GatewayAction.ReportHeldBack h ->
                     coldReports.reportHeldBack(h.request().service());
