Read the placement of requests from the settings

Before: no setting chose the placement by expected cost. placement = "expected-cost" does, and placement_latency says whether the latency of upstreams is relative to the cost of their requests ("relative", the default with expected cost) or as measured. Without both, requests are counted as before.

--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
@@ -86,7 +86,8 @@
                 settings.locality().regionByZone(),
                 () -> new GatewayRetryBudget(settings.retryRatio(), settings.retryWindow(), slackShare, startNanos),
                 random.split(),
-                settings.cold());
+                settings.cold(),
+                settings.placement());
         return new GatewayShell(
                 dispatcher,
                 eventLoops.next(),
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewaySettings.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewaySettings.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.citrontide.core.costing.PlacementSettings;
 import org.citrontide.core.toml.TomlSection;
 import org.citrontide.core.toml.ValidationResult;
 import org.citrontide.core.warmup.ColdSettings;
@@ -31,6 +32,7 @@
  * @param responseMemoryBytes maximum memory in bytes for incomplete responses of upstreams
  * @param locality regions and evacuations of zones
  * @param cold excess that is allowed over the rates of cold upstreams
+ * @param placement how the load of upstreams is estimated
  */
 public record GatewaySettings(
         String vm,
@@ -50,7 +52,8 @@
         int maxTeamLabels,
         long responseMemoryBytes,
         LocalitySettings locality,
-        ColdSettings cold) {
+        ColdSettings cold,
+        PlacementSettings placement) {
     private static final int MAX_CONNECTIONS = 100_000;
     private static final int DEFAULT_CONNECTIONS = 2000;
     private static final double MIN_LINK_MBPS = 0.1;
@@ -112,6 +115,7 @@
         int responseMemory = root.integer("response_memory_kb", 1, MAX_RESPONSE_MEMORY_KB, defaultResponseMemoryKb());
         LocalitySettings locality = LocalitySettings.read(root);
         ColdSettings cold = ColdSettingsReader.read(root);
+        PlacementSettings placement = PlacementSettingsReader.read(root);
         return root.finish(() -> new GatewaySettings(
                 vm,
                 zone,
@@ -130,7 +134,8 @@
                 labels,
                 (long) responseMemory * BYTES_PER_KB,
                 locality,
-                cold));
+                cold,
+                placement));
     }
 
     /** Reads the time limit of a stop, which ends before the process is killed. */
--- a/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
@@ -10,6 +10,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 
+import org.citrontide.core.costing.PlacementSettings;
 import org.citrontide.core.warmup.ColdSettings;
 import org.citrontide.fakes.net.TestPorts;
 import org.citrontide.fakes.platform.FakeHttpUpstream;
@@ -95,7 +96,8 @@
                         10,
                         RESPONSE_MEMORY_BYTES,
                         LocalitySettings.NONE,
-                        COLD_SETTINGS),
+                        COLD_SETTINGS,
+                        PlacementSettings.COUNTED),
                 1,
                 // A process allows no retry in its first window.
                 System.nanoTime() - RETRY_WINDOW.toNanos());
--- a/gateway/src/test/java/org/citrontide/gateway/daemon/GatewaySettingsTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/daemon/GatewaySettingsTest.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.citrontide.core.costing.PlacementSettings;
 import org.citrontide.core.warmup.ColdSettings;
 import org.junit.jupiter.api.Test;
 
@@ -65,6 +66,31 @@
                 .isEmpty());
     }
 
+    // Guards against a deployment that gets another placement than it asks for.
+    @Test
+    void thePlacementIsReadWhereItIsGiven() {
+        PlacementSettings.Rule expected = PlacementSettings.Rule.EXPECTED_COST;
+        assertEquals(PlacementSettings.COUNTED, placement(""));
+        assertEquals(PlacementSettings.COUNTED, placement("placement = \"counted-requests\"\n"));
+        assertEquals(new PlacementSettings(expected, true), placement("placement = \"expected-cost\"\n"));
+        assertEquals(
+                new PlacementSettings(expected, false),
+                placement("placement = \"expected-cost\"\nplacement_latency = \"measured\"\n"));
+        assertEquals(
+                new PlacementSettings(PlacementSettings.Rule.COUNTED_REQUESTS, true),
+                placement("placement_latency = \"relative\"\n"));
+        assertTrue(GatewaySettings.parse("f", REQUIRED + "placement = \"random\"\n")
+                .value()
+                .isEmpty());
+    }
+
+    private static PlacementSettings placement(String lines) {
+        return GatewaySettings.parse("f", REQUIRED + lines)
+                .value()
+                .orElseThrow()
+                .placement();
+    }
+
     private static LocalitySettings locality(String lines) {
         return GatewaySettings.parse("f", REQUIRED + lines)
                 .value()
