--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewaySettings.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewaySettings.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.citrontide.core.costing.PlacementSettings;
 import org.citrontide.core.expertmap.ControlCosts;
 import org.citrontide.core.toml.TomlSection;
 import org.citrontide.core.toml.ValidationResult;
@@ -34,6 +35,7 @@
  * @param locality regions and evacuations of zones
  * @param cold excess that is allowed over the rates of cold upstreams
  * @param controlCosts prices of reads of expert counts, orders and copies; without prices, thresholds alone decide
+ * @param placement how the load of upstreams is estimated
  */
 public record GatewaySettings(
         String vm,
@@ -55,7 +57,8 @@
         MemorySettings memory,
         LocalitySettings locality,
         ColdSettings cold,
-        ControlCosts controlCosts) {
+        ControlCosts controlCosts,
+        PlacementSettings placement) {
     private static final int MAX_CONNECTIONS = 100_000;
     private static final int DEFAULT_CONNECTIONS = 2000;
     private static final double MIN_LINK_MBPS = 0.1;
@@ -120,6 +123,7 @@
         LocalitySettings locality = LocalitySettings.read(root);
         ColdSettings cold = ColdSettingsReader.read(root);
         ControlCosts costs = ControlCostSettings.read(root);
+        PlacementSettings placement = PlacementSettingsReader.read(root);
         return root.finish(() -> new GatewaySettings(
                 vm,
                 zone,
@@ -140,7 +144,8 @@
                 memory,
                 locality,
                 cold,
-                costs));
+                costs,
+                placement));
     }
 
     /** Reads the time limit of a stop, which ends before the process is killed. */
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayMetrics.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayMetrics.java
@@ -40,6 +40,7 @@
     private final StartupMetrics startupMetrics;
     private final SendMonitor sendMonitor;
     private final ColdReports coldReports;
+    private final PlacementReports placementReports;
 
     /**
      * Registers the metrics.
@@ -80,12 +81,17 @@
         startupMetrics = new StartupMetrics(registry);
         sendMonitor = new SendMonitor(registry);
         coldReports = new ColdReports(registry);
+        placementReports = new PlacementReports(registry);
     }
 
     ColdReports coldReports() {
         return coldReports;
     }
 
+    PlacementReports placementReports() {
+        return placementReports;
+    }
+
     SendMonitor sendMonitor() {
         return sendMonitor;
     }
--- a/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
@@ -10,6 +10,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 
+import org.citrontide.core.costing.PlacementSettings;
 import org.citrontide.core.expertmap.ControlCosts;
 import org.citrontide.core.warmup.ColdSettings;
 import org.citrontide.fakes.net.TestPorts;
@@ -108,7 +109,8 @@
                         MEMORY,
                         LocalitySettings.NONE,
                         COLD_SETTINGS,
-                        ControlCosts.NONE),
+                        ControlCosts.NONE,
+                        PlacementSettings.COUNTED),
                 1,
                 // A process allows no retry in its first window.
                 System.nanoTime() - RETRY_WINDOW.toNanos());
