--- a/dist/src/test/java/org/citrontide/dist/GatewayMemoryTest.java
+++ b/dist/src/test/java/org/citrontide/dist/GatewayMemoryTest.java
@@ -13,7 +13,6 @@
 import org.citrontide.dist.Crowd.Message;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 import static java.nio.charset.StandardCharsets.US_ASCII;
@@ -59,21 +58,18 @@
 
     // Guards against heads whose decoded lines take many times the bytes that arrived.
     @Test
-    @Tag("known-red")
     void survivesUnterminatedHeadsOfEmptyLines() throws IOException {
         playAndCheck(0, Set.of(), List.of(new Message(emptyLines())));
     }
 
     // Guards against the same where no two names are equal.
     @Test
-    @Tag("known-red")
     void survivesUnterminatedHeadsOfDifferentNames() throws IOException {
         playAndCheck(0, Set.of(), List.of(new Message(differentNames())));
     }
 
     // Guards against decoded heads that are kept while their bodies are awaited.
     @Test
-    @Tag("known-red")
     void survivesHeadsWhoseBodyIsOneByteShort() throws IOException {
         playAndCheck(
                 0, Set.of(), List.of(new Message(join(emptyLines(HEAD_BYTES - 30), "Content-Length: 2\r\n\r\nx"))));
@@ -81,35 +77,30 @@
 
     // Guards against bodies that together exceed the heap.
     @Test
-    @Tag("known-red")
     void survivesLargeBodies() throws IOException {
         playAndCheck(0, Set.of(200), largeBodies(Integer.MAX_VALUE));
     }
 
     // Guards against a cost of each read in addition to its bytes.
     @Test
-    @Tag("known-red")
     void survivesLargeBodiesInSmallWrites() throws IOException {
         playAndCheck(0, Set.of(200), largeBodies(SMALL_WRITE));
     }
 
     // Guards against chunked bodies, whose sizes are not announced, that together exceed the heap.
     @Test
-    @Tag("known-red")
     void survivesChunkedBodies() throws IOException {
         playAndCheck(0, Set.of(200), chunkedBodies(CHUNK));
     }
 
     // Guards against a cost of each chunk in addition to its bytes.
     @Test
-    @Tag("known-red")
     void survivesBodiesInChunksOfOneByte() throws IOException {
         playAndCheck(0, Set.of(200), chunkedBodies(1));
     }
 
     // Guards against bounds on heads and on bodies that hold only for one of them at a time.
     @Test
-    @Tag("known-red")
     void survivesHeadsBesideLargeBodies() throws IOException {
         List<Message> messages = new ArrayList<>();
         for (Message body : largeBodies(Integer.MAX_VALUE)) {
@@ -121,14 +112,12 @@
 
     // Guards against memory that a closed connection still holds when its caller is back.
     @Test
-    @Tag("known-red")
     void survivesLargeBodiesOfCallersThatReconnect() throws IOException {
         playAndCheck(4 * CONNECTIONS, Set.of(200), largeBodies(Integer.MAX_VALUE));
     }
 
     // Guards against memory taken by callers that have no key, or whose target has no route.
     @Test
-    @Tag("known-red")
     void survivesLargeBodiesWithoutKeyOrRoute() throws IOException {
         List<Message> messages = new ArrayList<>();
         for (String route : List.of("look", "nowhere")) {
@@ -141,7 +130,6 @@
 
     // Guards against responses that take the memory in addition to the requests.
     @Test
-    @Tag("known-red")
     void survivesLargeBodiesBesideEndlessResponses() throws IOException {
         List<Socket> sockets = new ArrayList<>();
         try {
