Let returning callers precede others only in an outage and its backlog

Found by a review. Cause: a request whose caller was refused before preceded all others of its queue at all times and across ranks. Where a queue waits for turns at cold upstreams or for rate limits, callers that return early and often would have gone before urgent requests that are still on time.

GroupOutageLoadTest (returning callers first in outages) and AdmissionQueueTest stay green.

--- a/core/src/main/java/org/citrontide/core/gateway/AdmissionQueue.java
+++ b/core/src/main/java/org/citrontide/core/gateway/AdmissionQueue.java
@@ -44,7 +44,7 @@
     private static final int MAX_WAITING = 256;
 
     private final TreeSet<OpenGatewayRequest> waiting = new TreeSet<>(Comparator.<OpenGatewayRequest, Boolean>comparing(
-                    open -> !isReturning(open.request))
+                    open -> !open.isPreferred)
             .thenComparingInt(open -> open.request.rank())
             // Turns at cold upstreams are known beforehand: in order of arrival, all that wait get one in time.
             .thenComparing(open -> !open.isHeldBack)
@@ -188,6 +188,8 @@
                 || waiting.size() >= MAX_WAITING) {
             return false;
         }
+        // Without an outage, callers that return early and often must not go before those that are still on time.
+        open.isPreferred = isReturning(open.request) && (isDown || hasBacklog(nowNanos));
         return waiting.add(open);
     }
 
@@ -252,8 +254,11 @@
 
     /** Returns whether a request is late and part of the backlog of an outage; at other times late requests are few. */
     private boolean isLateBacklog(GatewayRequest request, long nowNanos) {
-        boolean hasBacklog = hadOutage && nowNanos - recoveredNanos < BACKLOG_PERIOD.toNanos();
-        return hasBacklog && request.route().isStreaming() && request.isLate(nowNanos);
+        return hasBacklog(nowNanos) && request.route().isStreaming() && request.isLate(nowNanos);
+    }
+
+    private boolean hasBacklog(long nowNanos) {
+        return hadOutage && nowNanos - recoveredNanos < BACKLOG_PERIOD.toNanos();
     }
 
     /** Returns whether the caller of a request was refused before: a first request can still be on time. */
--- a/core/src/main/java/org/citrontide/core/gateway/OpenGatewayRequest.java
+++ b/core/src/main/java/org/citrontide/core/gateway/OpenGatewayRequest.java
@@ -74,6 +74,9 @@
     /** Whether the limits of cold upstreams hold, or held, the request back; doesn't change while it is queued. */
     boolean isHeldBack;
 
+    /** Whether the request precedes others in the queue, because its caller returns in an outage. */
+    boolean isPreferred;
+
     /** Time in ns before which no upstream accepts the request, although some may accept others of its service. */
     long notBeforeNanos = Long.MIN_VALUE;
 
