Don't drop a response to relieve the pressure of callers' bodies

Found by a review. Cause: MemoryLedger.relieve chose the heaviest account of any holder, and weighs by age. An old large response could be dropped while only the bodies of other callers pressed; that freed nothing of theirs and went on.

MemoryLedgerTest.pressureOfBodiesIsNotRelievedByAResponse guards against it; on the code before it would choose the response, as the weight 200 bytes x 101 s against 3,500 bytes x 1 s shows (not run on it).

--- a/core/src/main/java/org/citrontide/core/memory/MemoryLedger.java
+++ b/core/src/main/java/org/citrontide/core/memory/MemoryLedger.java
@@ -152,7 +152,11 @@
         if (!isHigh()) {
             return Optional.empty();
         }
-        Optional<MemoryAccount> heaviest = heaviest(a -> a.totalBytes() > bounds.smallBytes(), nowNanos);
+        // While only the requests of callers press, refusing a response would free nothing that they need.
+        boolean isTotalHigh = isHigh(largeBytes, bounds.totalBytes() - bounds.reserveBytes());
+        Optional<MemoryAccount> heaviest = heaviest(
+                a -> a.totalBytes() > bounds.smallBytes() && (isTotalHigh || a.bytes(MemoryHolder.CALLER_BODIES) > 0),
+                nowNanos);
         heaviest.ifPresent(this::close);
         return heaviest.map(a -> new MemoryRefusal(a, MemoryBound.PRESSURE));
     }
--- a/core/src/test/java/org/citrontide/core/memory/MemoryLedgerTest.java
+++ b/core/src/test/java/org/citrontide/core/memory/MemoryLedgerTest.java
@@ -224,6 +224,20 @@
         assertEquals(Optional.empty(), ledger.relieve(2 * SECOND));
     }
 
+    // Guards against an old response that is dropped because other callers' bodies press, which would free none of
+    // them.
+    @Test
+    void pressureOfBodiesIsNotRelievedByAResponse() {
+        MemoryAccount response = open();
+        ledger.add(response, MemoryHolder.RESPONSES, 200, 0);
+        MemoryAccount body = open();
+        ledger.add(body, MemoryHolder.CALLER_BODIES, 3500, 100 * SECOND);
+        MemoryAccount other = open();
+        ledger.add(other, MemoryHolder.CALLER_BODIES, 3000, 100 * SECOND);
+        assertTrue(ledger.isUnderPressure(body));
+        assertEquals(Optional.of(body), ledger.relieve(101 * SECOND).map(MemoryRefusal::account));
+    }
+
     // Guards against memory that is freed twice, which would let others pass the bound.
     @Test
     void freeingMoreThanIsCountedFailsAndAClosedAccountCountsNothing() {
