Dispatch no request behind the last response of a caller's connection

Found by a review. Cause: the listener of a written response ran at once if the write was done, before decoding was stopped. A pipelined request behind one with `Connection: close`, or behind the last response of a planned stop, was sent to an upstream and nobody got its response. Likewise after abort and after a caller that does not read.

CutRequestTest.aRequestBehindTheLastOneOfAConnectionIsNotForwarded: 20 of 20 connections without the second request at the upstream; not run on the code before.

--- a/gateway/src/main/java/org/citrontide/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/caller/CallerConnection.java
@@ -154,6 +154,7 @@
     /** Closes the connection without ending the body, so that the response is incomplete. */
     public void abort() {
         releaseCurrent();
+        stopDecoding();
         channel.close();
     }
 
@@ -263,6 +264,7 @@
     /** Closes the connection because its caller doesn't read the response. */
     void closeUnread(MemoryBound bound, long bytes) {
         server.memoryGuard().recordRefusedCaller("unread-" + bound.key(), false, channel.remoteAddress(), bytes);
+        stopDecoding();
         channel.close();
     }
 
@@ -361,7 +363,7 @@
     }
 
     private void dispatchNext() {
-        if (current.isPresent() || pipelined.isEmpty() || output.isWritingLarge()) {
+        if (closing || current.isPresent() || pipelined.isEmpty() || output.isWritingLarge()) {
             return;
         }
         current = Optional.of(pipelined.removeFirst());
@@ -378,9 +380,12 @@
         lastActivityNanos = System.nanoTime();
         unwrittenResponses++;
         server.responseQueued();
-        writeFuture.addListener(f -> handleResponseWritten());
         if (isLast) {
+            // Before the listener, which runs at once if the response is written already and would dispatch the next.
             stopDecoding();
+        }
+        writeFuture.addListener(f -> handleResponseWritten());
+        if (isLast) {
             writeFuture.addListener(ChannelFutureListener.CLOSE);
             return;
         }
--- a/gateway/src/test/java/org/citrontide/gateway/CutRequestTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/CutRequestTest.java
@@ -75,6 +75,31 @@
         assertTrue(upstream.requests().stream().allMatch(r -> bodies.contains(r.body())));
     }
 
+    // Guards against a request that runs after the response that closes its connection, so that nobody gets its answer.
+    @Test
+    void aRequestBehindTheLastOneOfAConnectionIsNotForwarded() throws IOException {
+        FakeHttpUpstream upstream = addUpstream("a", (r, reply) -> reply.writeResponse("200 OK", "done"));
+        for (int i = 0; i < 20; i++) {
+            try (RawCaller caller = new RawCaller(callerPort)) {
+                caller.write(bookingHead("first-" + i, "Connection: close\r\n") + bookingHead("second-" + i, ""));
+                assertEquals(200, caller.readResponse().status());
+                assertEquals("", caller.readToEnd());
+            }
+        }
+        pause(100);
+        assertEquals(
+                List.of(),
+                upstream.requests().stream()
+                        .map(r -> r.header("Citrontide-Attempt-Id"))
+                        .filter(id -> id.startsWith("second"))
+                        .toList());
+    }
+
+    private static String bookingHead(String id, String field) {
+        return "POST /book/x HTTP/1.1\r\nHost: h.example\r\nCitrontide-Deadline-Ms: 3000\r\n" + field
+                + "Citrontide-Attempt-Id: " + id + "\r\nAuthorization: Bearer key-1\r\nContent-Length: 0\r\n\r\n";
+    }
+
     // Guards against a request that runs although its body was cut.
     @Test
     void requestWhoseBodyIsCutAtAnyByteIsNotForwarded() throws IOException {
