Let requests wait for the first configuration only if the settings ask for it

Requests that waited at gateways which restart together were released into a group that had just formed again, and delayed those that could be on time.

`max_startup_requests` is 0 by default, so that deployments are served as before; StartupTest runs with 120.

StartupTest, StartupQueueTest and GatewaySettingsTest are green.

--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewayModule.java
@@ -95,13 +95,15 @@
                 random.split(),
                 settings.cold(),
                 settings.placement());
-        return new GatewayShell(
+        GatewayShell shell = new GatewayShell(
                 dispatcher,
                 eventLoops.next(),
                 r,
                 new GatewayMetrics(registry, settings.maxTeamLabels()),
                 new ResponseMemory(settings.responseMemoryBytes(), ledger, System::nanoTime),
                 new ResponseFaults(registry));
+        shell.setMaxStartupRequests(settings.maxStartupRequests());
+        return shell;
     }
 
     @Provides
--- a/gateway/src/main/java/org/citrontide/gateway/daemon/GatewaySettings.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/GatewaySettings.java
@@ -36,6 +36,7 @@
  * @param cold excess that is allowed over the rates of cold upstreams
  * @param controlCosts prices of reads of expert counts, orders and copies; without prices, thresholds alone decide
  * @param placement how the load of upstreams is estimated
+ * @param maxStartupRequests maximum number of requests that wait for the first configuration, 0 for none
  */
 public record GatewaySettings(
         String vm,
@@ -58,7 +59,8 @@
         LocalitySettings locality,
         ColdSettings cold,
         ControlCosts controlCosts,
-        PlacementSettings placement) {
+        PlacementSettings placement,
+        int maxStartupRequests) {
     private static final int MAX_CONNECTIONS = 100_000;
     private static final int DEFAULT_CONNECTIONS = 2000;
     private static final double MIN_LINK_MBPS = 0.1;
@@ -85,6 +87,7 @@
     // The rest of the heap holds requests, the store's entries and what the process needs without load.
     private static final int RESPONSE_HEAP_DIVISOR = 3;
     private static final int BYTES_PER_KB = 1024;
+    private static final int MAX_STARTUP_REQUESTS = 120;
 
     /** Copies the list, so that the record is immutable. */
     public GatewaySettings {
@@ -124,6 +127,7 @@
         ColdSettings cold = ColdSettingsReader.read(root);
         ControlCosts costs = ControlCostSettings.read(root);
         PlacementSettings placement = PlacementSettingsReader.read(root);
+        int startupRequests = root.integer("max_startup_requests", 0, MAX_STARTUP_REQUESTS, 0);
         return root.finish(() -> new GatewaySettings(
                 vm,
                 zone,
@@ -145,7 +149,8 @@
                 locality,
                 cold,
                 costs,
-                placement));
+                placement,
+                startupRequests));
     }
 
     /** Reads the time limit of a stop, which ends before the process is killed. */
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
@@ -145,6 +145,15 @@
         }
     }
 
+    /**
+     * Sets how many requests wait for the first configuration. None do before.
+     *
+     * @param count maximum number of requests, 0 for none
+     */
+    public void setMaxStartupRequests(int count) {
+        startupRequests.setMaxRequests(count);
+    }
+
     /**
      * Returns what passes changes of the shared state on to the dispatcher.
      *
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/StartupRequests.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/StartupRequests.java
@@ -28,16 +28,23 @@
     private final Map<Long, Held> heldById = new HashMap<>();
     private final Map<CallerRequest, Long> idByCaller = new HashMap<>();
     private long nextId = 1;
+    private int maxRequests;
 
     StartupRequests(RandomGenerator random, StartupMetrics metrics, long startNanos) {
         this.queue = new StartupQueue(startNanos, random);
         this.metrics = metrics;
     }
 
+    /** Sets the maximum number of requests that wait, beside the bounds of the queue; none do before. */
+    void setMaxRequests(int count) {
+        maxRequests = count;
+    }
+
     /** Keeps a request if the bounds permit it; returns whether they do. */
     boolean tryHold(CallerRequest caller, long nowNanos) {
         long id = nextId++;
-        if (!queue.tryAdd(id, caller.memoryBytes(), GatewayRequestFactory.callerTimeout(caller), nowNanos)) {
+        if (heldById.size() >= maxRequests
+                || !queue.tryAdd(id, caller.memoryBytes(), GatewayRequestFactory.callerTimeout(caller), nowNanos)) {
             metrics.recordEnd("refused");
             return false;
         }
--- a/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
@@ -110,7 +110,8 @@
                         LocalitySettings.NONE,
                         COLD_SETTINGS,
                         ControlCosts.NONE,
-                        PlacementSettings.COUNTED),
+                        PlacementSettings.COUNTED,
+                        120),
                 1,
                 // A process allows no retry in its first window.
                 System.nanoTime() - RETRY_WINDOW.toNanos());
