--- a/review/rig-2/Proxy.java
+++ b/review/rig-2/Proxy.java
@@ -4,6 +4,7 @@
 import java.net.*;
 import java.util.*;
 import java.util.concurrent.*;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** A TCP proxy whose open connections can fall silent without a reset, while new ones work. */
 final class Proxy implements AutoCloseable {
@@ -15,6 +16,7 @@
         final Socket a;
         final Socket b;
         volatile boolean silent;
+        private final AtomicInteger ended = new AtomicInteger();
 
         Link(Socket a, Socket b) {
             this.a = a;
@@ -31,6 +33,9 @@
                 }
                 if (!silent) {
                     to.shutdownOutput();
+                    if (ended.incrementAndGet() == 2) {
+                        close();
+                    }
                 }
             } catch (IOException e) {
                 if (!silent) {
@@ -61,6 +66,11 @@
         return server.getLocalPort();
     }
 
+    /** Returns the number of open connections. */
+    int open() {
+        return links.size();
+    }
+
     /** Nothing passes any more on the connections that are open now. */
     int silence() {
         links.forEach(l -> l.silent = true);
--- a/review/rig-2/Rig.java
+++ b/review/rig-2/Rig.java
@@ -256,8 +256,12 @@
         }
 
         void request(String method, String path, String id, int deadlineMs, String body) throws IOException {
+            request(method, path, id, deadlineMs, body, "key-1");
+        }
+
+        void request(String method, String path, String id, int deadlineMs, String body, String key) throws IOException {
             write(method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nCitrontide-Attempt-Id: " + id
-                    + "\r\nCitrontide-Deadline-Ms: " + deadlineMs + "\r\nAuthorization: Bearer key-1\r\n"
+                    + "\r\nCitrontide-Deadline-Ms: " + deadlineMs + "\r\nAuthorization: Bearer " + key + "\r\n"
                     + (method.equals("GET") ? "" : "Content-Length: " + body.length() + "\r\n") + "\r\n" + body);
         }
 
