Log which removed entries of upstreams are kept, and why

The logs could not tell a removal that was not read from one that was read and kept: a removal seen in a full read or a peer's copy had no line, and neither had the beginning and the end of the grace period.

New: removed-entries-kept (time without service, and who was served), upstream-removed with kept=, also for full reads, and upstream-expired.

--- a/core/src/main/java/org/citrontide/core/gateway/MembershipView.java
+++ b/core/src/main/java/org/citrontide/core/gateway/MembershipView.java
@@ -6,8 +6,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.TreeMap;
 
 import org.citrontide.core.routes.ListedUpstream;
 
@@ -39,14 +41,18 @@
      * Records that the store has served this gateway or a peer.
      *
      * @param nowNanos monotonic time in ns
+     * @return how long the store was away, if entries may have expired meanwhile and are kept from now on
      */
-    public void recordStoreServed(long nowNanos) {
-        long unservedNanos = nowNanos - servedNanos.orElse(nowNanos);
-        if (hasFailed && unservedNanos >= MIN_OUTAGE.toNanos()) {
-            graceEndNanos = OptionalLong.of(nowNanos + REREGISTRATION_GRACE.toNanos());
-        }
+    public Optional<Duration> recordStoreServed(long nowNanos) {
+        Duration unserved = Duration.ofNanos(nowNanos - servedNanos.orElse(nowNanos));
+        boolean isOutageOver = hasFailed && unserved.compareTo(MIN_OUTAGE) >= 0;
         hasFailed = false;
         servedNanos = OptionalLong.of(nowNanos);
+        if (!isOutageOver) {
+            return Optional.empty();
+        }
+        graceEndNanos = OptionalLong.of(nowNanos + REREGISTRATION_GRACE.toNanos());
+        return Optional.of(unserved);
     }
 
     /**
@@ -54,16 +60,19 @@
      *
      * @param upstreams all usable entries
      * @param nowNanos monotonic time in ns
+     * @return whether each removed entry is kept, by its identity
      */
-    public void replaceAll(List<ListedUpstream> upstreams, long nowNanos) {
+    public Map<String, Boolean> replaceAll(List<ListedUpstream> upstreams, long nowNanos) {
         Set<String> ids = new HashSet<>();
         upstreams.forEach(u -> ids.add(u.id()));
+        Map<String, Boolean> removed = new TreeMap<>();
         for (String id : List.copyOf(current.keySet())) {
             if (!ids.contains(id)) {
-                removeEntry(id, nowNanos);
+                removed.put(id, removeEntry(id, nowNanos));
             }
         }
         upstreams.forEach(this::putEntry);
+        return removed;
     }
 
     /**
@@ -81,26 +90,30 @@
      *
      * @param id identity of the upstream
      * @param nowNanos monotonic time in ns
+     * @return whether the entry is kept
      */
-    public void removeEntry(String id, long nowNanos) {
+    public boolean removeEntry(String id, long nowNanos) {
         ListedUpstream u = current.remove(id);
-        if (u != null && !u.isDraining() && isInGracePeriod(nowNanos)) {
+        boolean isKept = u != null && !u.isDraining() && isInGracePeriod(nowNanos);
+        if (isKept) {
             expired.put(id, u);
         }
+        return isKept;
     }
 
     /**
      * Drops the expired entries once the grace period has ended.
      *
      * @param nowNanos monotonic time in ns
-     * @return true if the list changed
+     * @return identities of the upstreams that are no longer listed
      */
-    public boolean expire(long nowNanos) {
-        if (expired.isEmpty() || isInGracePeriod(nowNanos)) {
-            return false;
+    public Set<String> expire(long nowNanos) {
+        if (isInGracePeriod(nowNanos)) {
+            return Set.of();
         }
+        Set<String> dropped = Set.copyOf(expired.keySet());
         expired.clear();
-        return true;
+        return dropped;
     }
 
     /**
--- a/core/src/test/java/org/citrontide/core/gateway/MembershipViewTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/MembershipViewTest.java
@@ -1,13 +1,12 @@
 package org.citrontide.core.gateway;
 
 import java.util.List;
+import java.util.Set;
 
 import org.citrontide.core.routes.ListedUpstream;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Checks the handling of removed and expired entries. */
 final class MembershipViewTest {
@@ -32,8 +31,8 @@
         view.replaceAll(List.of(), 10 * SECOND);
         assertEquals(2, view.upstreams().size());
         view.putEntry(upstream("a", false));
-        assertFalse(view.expire(11 * SECOND));
-        assertTrue(view.expire(13 * SECOND));
+        assertEquals(Set.of(), view.expire(11 * SECOND));
+        assertEquals(Set.of("b"), view.expire(13 * SECOND));
         assertEquals(List.of(upstream("a", false)), view.upstreams());
     }
 
--- a/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
@@ -202,7 +202,7 @@
     }
 
     private void adoptPeerCopy(InetSocketAddress peer, MetadataStore.Page page) {
-        membership.recordStoreServed(System.nanoTime());
+        recordStoreServed("peer");
         if (page.revision() < newestRevision || page.revision() <= revision.orElse(0L)) {
             return;
         }
@@ -230,8 +230,8 @@
                 decode(i).ifPresent(upstreams::add);
             }
         }
-        membership.replaceAll(upstreams, System.nanoTime());
-        membership.expire(System.nanoTime());
+        membership.replaceAll(upstreams, System.nanoTime()).forEach(StoreMirror::logRemoved);
+        expireEntries();
         notifyListener("evacuations", () -> listener.evacuationsUpdated(evacuatedZones()));
         notifyListener("gateways", () -> listener.gatewaysUpdated(gateways()));
         notifyListener("crash-evidence", () -> listener.crashEvidenceUpdated(copies(CrashEvidenceStore.PREFIX)));
@@ -257,7 +257,7 @@
                     if (hasChange(changes, GroupStore.PREFIX)) {
                         notifyListener("groups", () -> listener.groupsUpdated(copies(GroupStore.PREFIX)));
                     }
-                    boolean hasExpired = membership.expire(System.nanoTime());
+                    boolean hasExpired = expireEntries();
                     if (hasExpired || !changes.changes().isEmpty()) {
                         notifyListener("upstreams", () -> listener.upstreamsUpdated(membership.upstreams()));
                     }
@@ -307,8 +307,27 @@
             membership.putEntry(upstream.get());
             return;
         }
-        LOG.info("upstream-removed").with("upstream", id).write();
-        membership.removeEntry(id, System.nanoTime());
+        logRemoved(id, membership.removeEntry(id, System.nanoTime()));
+    }
+
+    private static void logRemoved(String id, boolean isKept) {
+        LOG.info("upstream-removed").with("upstream", id).with("kept", isKept).write();
+    }
+
+    /** Drops the entries that were kept, once their time has passed; returns whether there were any. */
+    private boolean expireEntries() {
+        Set<String> dropped = membership.expire(System.nanoTime());
+        dropped.forEach(id -> LOG.info("upstream-expired").with("upstream", id).write());
+        return !dropped.isEmpty();
+    }
+
+    private void recordStoreServed(String by) {
+        membership
+                .recordStoreServed(System.nanoTime())
+                .ifPresent(unserved -> LOG.info("removed-entries-kept")
+                        .with("unserved-ms", unserved.toMillis())
+                        .with("served", by)
+                        .write());
     }
 
     private List<String> gateways() {
@@ -430,7 +449,7 @@
 
     private void handleAvailable() {
         consecutiveFailures = 0;
-        membership.recordStoreServed(System.nanoTime());
+        recordStoreServed("self");
         if (isStoreUnavailable) {
             isStoreUnavailable = false;
             LOG.info("store-recovered")
