Tell an outage of the store from silent connections by the heartbeats of upstreams

Cause: MembershipView took 2 s without an answer for an outage in which entries expire, and then kept each removed entry for 2.2 s and until the next read. One watch on a silent connection is enough (0.75 s pause and 1.8 s timeout).

Change: - StoreOutageDetector decides by the heartbeats that the store took while it did not serve this gateway: entries can only expire if upstreams could not write. HeartbeatCounter counts them, by sequence numbers where a read skips writes (full reads, copies of peers). Where too few are expected, the gateway's own calls decide: refusals and failed connections count as an outage, a call without an answer does not. - StoreReader: a read without an answer is followed at once by one on a new connection, and only if that fails too is the store unavailable. - A copy of a peer that is not newer than the own one proves nothing. - UpstreamEntries and StoreReader are parts of StoreMirror, moved out without other changes.

Why it works: a live upstream writes every 1.2 s, so in the 2.5 s of a silent watch each one that is still listed has written twice if the store served it; in an outage that lets entries expire (over 2.4 s) at least two heartbeats of each are missing, or one if it writes again at once.

--- a/core/src/main/java/org/citrontide/core/gateway/MembershipView.java
+++ b/core/src/main/java/org/citrontide/core/gateway/MembershipView.java
@@ -11,48 +11,67 @@
 import java.util.Set;
 import java.util.TreeMap;
 
+import org.citrontide.core.outage.Heartbeats;
+import org.citrontide.core.outage.StoreOutageDetector;
 import org.citrontide.core.routes.ListedUpstream;
 
 /**
  * One gateway's view of the available upstreams, built from the store's entries and their removals.
  *
- * <p>Invariants: an entry that is removed while the store serves this gateway or a peer is dropped immediately; one
- * that is missing after an outage of the store is kept for a grace period, because entries expire while upstreams can't
- * renew them and each upstream needs time to write its entry again. Not thread-safe.
+ * <p>Invariants: an entry that is removed while the store takes heartbeats is dropped immediately; one that is missing
+ * after an outage of the store is kept for a grace period, because entries expire while upstreams can't renew them and
+ * each upstream needs time to write its entry again. Not thread-safe.
  */
 public final class MembershipView {
     // After an outage of the store, live upstreams write their entries again within this time.
     private static final Duration REREGISTRATION_GRACE = Duration.ofMillis(2200);
-    // Entries outlast an interruption of two heartbeats of their upstreams, about 1.2 s each.
-    private static final Duration MIN_OUTAGE = Duration.ofSeconds(2);
 
     private final Map<String, ListedUpstream> current = new HashMap<>();
     private final Map<String, ListedUpstream> expired = new HashMap<>();
-    private boolean hasFailed;
-    private OptionalLong servedNanos = OptionalLong.empty();
+    private final StoreOutageDetector outageDetector = new StoreOutageDetector();
     private OptionalLong graceEndNanos = OptionalLong.empty();
 
-    /** Records that a call to the store has failed. */
+    /**
+     * A time in which removed entries are kept, because the store was away before it. Immutable.
+     *
+     * @param unserved how long this gateway knew of no service of the store
+     * @param endNanos monotonic time in ns at which it ends
+     */
+    public record GracePeriod(Duration unserved, long endNanos) {}
+
+    /** Records that a call to the store got no answer, on a connection that may have fallen silent. */
+    public void recordUnansweredCall() {
+        outageDetector.recordUnansweredCall();
+    }
+
+    /** Records that the store refused a call, or that it could not be reached on a new connection. */
     public void recordStoreFailure() {
-        hasFailed = true;
+        outageDetector.recordFailedCall();
     }
 
     /**
-     * Records that the store has served this gateway or a peer.
+     * Records that the store has served this gateway or a peer, if nothing is known of heartbeats.
      *
      * @param nowNanos monotonic time in ns
-     * @return how long the store was away, if entries may have expired meanwhile and are kept from now on
+     * @return the grace period that begins, if there was an outage in which entries may have expired
      */
-    public Optional<Duration> recordStoreServed(long nowNanos) {
-        Duration unserved = Duration.ofNanos(nowNanos - servedNanos.orElse(nowNanos));
-        boolean isOutageOver = hasFailed && unserved.compareTo(MIN_OUTAGE) >= 0;
-        hasFailed = false;
-        servedNanos = OptionalLong.of(nowNanos);
-        if (!isOutageOver) {
-            return Optional.empty();
-        }
-        graceEndNanos = OptionalLong.of(nowNanos + REREGISTRATION_GRACE.toNanos());
-        return Optional.of(unserved);
+    public Optional<GracePeriod> recordStoreServed(long nowNanos) {
+        return recordStoreServed(Heartbeats.UNKNOWN, nowNanos);
+    }
+
+    /**
+     * Records that the store has served this gateway or a peer. To be called before the changes of the same read.
+     *
+     * @param heartbeats heartbeats that the store has taken since the read before
+     * @param nowNanos monotonic time in ns
+     * @return the grace period that begins, if there was an outage in which entries may have expired
+     */
+    public Optional<GracePeriod> recordStoreServed(Heartbeats heartbeats, long nowNanos) {
+        Optional<GracePeriod> begun = outageDetector
+                .recordServed(heartbeats, nowNanos)
+                .map(unserved -> new GracePeriod(unserved, nowNanos + REREGISTRATION_GRACE.toNanos()));
+        begun.ifPresent(g -> graceEndNanos = OptionalLong.of(g.endNanos()));
+        return begun;
     }
 
     /**
--- a/fakes/src/main/java/org/citrontide/fakes/net/HoldingProxy.java
+++ b/fakes/src/main/java/org/citrontide/fakes/net/HoldingProxy.java
@@ -7,12 +7,15 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
  * A loopback proxy for TCP that can hold up all bytes towards its target, like a cut path: it neither accepts nor
  * reads, so that what exceeds its small receive buffers stays at the sender. What these buffers accepted is delivered
- * once the path opens, even if the sender has reset the connection since. Thread-safe.
+ * once the path opens, even if the sender has reset the connection since. It can also silence its open connections for
+ * good, without a reset. Thread-safe.
  */
 public final class HoldingProxy implements AutoCloseable {
     private static final int BACKLOG = 50;
@@ -22,6 +25,7 @@
     private final ServerSocket socket;
     private final InetSocketAddress target;
     private final List<Socket> connections = new CopyOnWriteArrayList<>();
+    private final Set<Socket> silenced = ConcurrentHashMap.newKeySet();
     private boolean held;
 
     /**
@@ -57,6 +61,11 @@
         notifyAll();
     }
 
+    /** Drops all further bytes in both directions on the connections that are open now, while new ones work. */
+    public void silence() {
+        silenced.addAll(connections);
+    }
+
     @Override
     public void close() throws IOException {
         setHeld(false);
@@ -113,7 +122,9 @@
                 if (isTowardsTarget) {
                     awaitOpen();
                 }
-                to.getOutputStream().write(chunk, 0, length);
+                if (!silenced.contains(from)) {
+                    to.getOutputStream().write(chunk, 0, length);
+                }
             }
         } catch (IOException e) {
             // One side closed the connection; the other one is closed as well.
--- a/gateway/src/main/java/org/citrontide/gateway/store/PlatformClient.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/PlatformClient.java
@@ -99,7 +99,8 @@
      * @param call the call to send
      * @param timeout maximum time until the response
      * @return the response; completes exceptionally with an {@link IOException} if there is none, which is a
-     *     {@link ResponseTooLargeException} if the response exceeds the limit of this client
+     *     {@link ResponseTooLargeException} if the response exceeds the limit of this client, and an
+     *     {@link UnansweredCallException} if the call was sent but its connection brought no complete response
      */
     public CompletableFuture<PlatformResponse> call(InetSocketAddress address, PlatformCall call, Duration timeout) {
         callCount++;
@@ -256,7 +257,7 @@
                 return;
             }
             if (pendingResponse == null || !channel.isActive()) {
-                fail(pendingResponse, "connection lost within the response");
+                failUnanswered(pendingResponse, "connection lost within the response");
                 return;
             }
             if (decoder.unreadBytes() > 0 || channel.probe() > 0) {
@@ -293,7 +294,7 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             idleConnections.getOrDefault(address, new ArrayDeque<>()).remove(this);
-            fail(pendingResponse, "connection closed");
+            failUnanswered(pendingResponse, "connection closed");
         }
 
         @Override
@@ -317,10 +318,12 @@
                 return;
             }
             pendingResponse = null;
-            if (channel != null) {
-                reset();
+            if (channel == null) {
+                fail(response, "no connection within the timeout");
+                return;
             }
-            fail(response, "no response within the timeout");
+            reset();
+            failUnanswered(response, "no response within the timeout");
         }
 
         /** Closes the connection without sending the rest, so that a call can't arrive after it was given up. */
@@ -335,6 +338,10 @@
             failWith(response, new IOException(reason + ": " + address));
         }
 
+        private void failUnanswered(CompletableFuture<PlatformResponse> response, String reason) {
+            failWith(response, new UnansweredCallException(address, reason));
+        }
+
         private void failWith(CompletableFuture<PlatformResponse> response, IOException failure) {
             pendingResponse = null;
             if (response != null) {
--- a/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
@@ -4,20 +4,16 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 
 import io.netty.channel.EventLoop;
-import org.citrontide.core.gateway.MembershipView;
-import org.citrontide.core.routes.ListedUpstream;
 import org.citrontide.core.routes.RoutingTable;
 import org.citrontide.platform.ConfigurationDecoder;
 import org.citrontide.platform.DecodeException;
@@ -25,8 +21,6 @@
 import org.citrontide.platform.MetadataStore;
 import org.citrontide.platform.MetadataStore.Change;
 import org.citrontide.platform.MetadataStore.Item;
-import org.citrontide.platform.PlatformCall;
-import org.citrontide.platform.UpstreamDecoder;
 import org.citrontide.runtime.eventloop.GuardedTask;
 import org.citrontide.runtime.log.EventLog;
 
@@ -39,7 +33,7 @@
  * follows; a watch whose response is too large is replaced by a read of all pages, each of which has a bounded size;
  * the copy of a peer replaces nothing that is newer. Not thread-safe: confined to the event loop.
  */
-public final class StoreMirror {
+public final class StoreMirror implements StoreReader.Listener {
     private static final EventLog LOG = EventLog.of(StoreMirror.class);
     private static final String ALL_KEYS = "";
     // A watch returns as soon as any key changes, and heartbeats change keys all the time: with a pause between the
@@ -48,40 +42,25 @@
     // With a longer pause, a single failed call would pass for an outage of the store.
     private static final Duration MAX_WATCH_PAUSE = Duration.ofMillis(1200);
     private static final Duration WATCH_WAIT = Duration.ofMillis(1000);
-    // Longer than the wait plus a slow response; a connection that is silent for this long is abandoned.
-    private static final Duration CALL_TIMEOUT = Duration.ofMillis(1800);
-    // During an outage, a call only probes whether the store is available again; a slow response takes a quarter of a
-    // second.
-    private static final Duration OUTAGE_CALL_TIMEOUT = Duration.ofMillis(700);
-    // The backoff grows to at most this many times its initial value, so that a long outage costs few calls.
-    private static final int MAX_BACKOFF_FACTOR = 5;
-    private static final Duration INITIAL_BACKOFF = Duration.ofMillis(150);
-    private static final Duration MAX_JITTER = Duration.ofMillis(150);
     // The copy is useful to a peer only if it is newer than what a failing store could have returned.
     private static final Duration MAX_COPY_AGE = Duration.ofMillis(2500);
     private static final Duration PEER_TIMEOUT = Duration.ofMillis(500);
     private static final int OK = 200;
 
     private final PlatformClient client;
-    private final InetSocketAddress store;
+    private final StoreReader reader;
     private final EventLoop loop;
-    private final RandomGenerator random;
     private final StoreListener listener;
-    private final MembershipView membership = new MembershipView();
-    private final Set<String> loggedOnce = new HashSet<>();
+    private final UpstreamEntries entries = new UpstreamEntries();
     private final MirroredKeys keys = new MirroredKeys();
-    private final EntryTimes entryTimes = new EntryTimes();
     private final Map<String, Item> copy = new TreeMap<>();
     private final List<InetSocketAddress> peers;
     private final Duration watchPause;
-    private int consecutiveFailures;
     private Optional<Long> revision = Optional.empty();
     private boolean isFullReadDue;
     // Remains while a new full read is needed, so that the older copy of a peer replaces nothing.
     private long newestRevision;
     private long version;
-    private boolean isStoreUnavailable;
-    private long lastResponseNanos = System.nanoTime();
 
     /**
      * Creates a mirror that has not read anything.
@@ -103,11 +82,10 @@
             RandomGenerator random,
             StoreListener listener) {
         this.client = client;
-        this.store = store;
+        this.reader = new StoreReader(client, store, random, this);
         this.peers = List.copyOf(peers);
         this.watchPause = watchPause(changeLimit);
         this.loop = loop;
-        this.random = random;
         this.listener = listener;
     }
 
@@ -132,7 +110,7 @@
      * @return the items in the encoding of the store's own response, or empty if the store has not responded recently
      */
     public Optional<byte[]> page() {
-        boolean isFresh = !isStoreUnavailable && System.nanoTime() - lastResponseNanos < MAX_COPY_AGE.toNanos();
+        boolean isFresh = reader.isAvailable() && reader.sinceLastResponse().compareTo(MAX_COPY_AGE) < 0;
         return revision.filter(r -> isFresh).map(r -> MetadataStore.encodePage(copy.values(), r));
     }
 
@@ -151,7 +129,7 @@
     }
 
     private void readAll(FullRead read) {
-        callStore(MetadataStore.range(ALL_KEYS, read.lastKey()), body -> {
+        reader.read(MetadataStore.range(ALL_KEYS, read.lastKey()), body -> {
             MetadataStore.Page page = MetadataStore.decodePage(body);
             read.add(page);
             if (page.isTruncated() && !page.items().isEmpty()) {
@@ -159,11 +137,11 @@
                 return;
             }
             isFullReadDue = false;
-            handleFullRead(read);
+            handleFullRead(read, "self");
             setRevision(read.revision());
             LOG.info("store-read")
                     .with("revision", read.revision())
-                    .with("upstreams", membership.upstreams().size())
+                    .with("upstreams", entries.list().size())
                     .write();
             schedule(watchPause);
         });
@@ -202,7 +180,6 @@
     }
 
     private void adoptPeerCopy(InetSocketAddress peer, MetadataStore.Page page) {
-        recordStoreServed("peer");
         if (page.revision() < newestRevision || page.revision() <= revision.orElse(0L)) {
             return;
         }
@@ -213,39 +190,35 @@
                 .write();
         FullRead read = new FullRead(keys);
         read.add(page);
-        handleFullRead(read);
+        handleFullRead(read, "peer");
         setRevision(page.revision());
     }
 
-    private void handleFullRead(FullRead read) {
+    private void handleFullRead(FullRead read, String servedBy) {
         copy.clear();
         read.items().forEach(i -> copy.put(i.key(), i));
-        entryTimes.retain(copy.keySet());
-        List<ListedUpstream> upstreams = new ArrayList<>();
-        for (Item i : read.items()) {
-            if (i.key().equals(ConfigurationDecoder.KEY)) {
-                handleConfiguration(i);
-            }
-            if (i.key().startsWith(UpstreamDecoder.KEY_PREFIX)) {
-                decode(i).ifPresent(upstreams::add);
-            }
-        }
-        membership.replaceAll(upstreams, System.nanoTime()).forEach(StoreMirror::logRemoved);
-        expireEntries();
+        Optional.ofNullable(copy.get(ConfigurationDecoder.KEY)).ifPresent(this::handleConfiguration);
+        entries.replaceAll(read.items(), servedBy, System.nanoTime());
         notifyListener("evacuations", () -> listener.evacuationsUpdated(evacuatedZones()));
         notifyListener("gateways", () -> listener.gatewaysUpdated(gateways()));
         notifyListener("crash-evidence", () -> listener.crashEvidenceUpdated(copies(CrashEvidenceStore.PREFIX)));
         notifyListener("groups", () -> listener.groupsUpdated(copies(GroupStore.PREFIX)));
         notifyListener("leader-key", () -> listener.leaderKeyUpdated(read.isLeaderKeyHeld()));
-        notifyListener("upstreams", () -> listener.upstreamsUpdated(membership.upstreams()));
+        notifyListener("upstreams", () -> listener.upstreamsUpdated(entries.list()));
     }
 
     private void watch(long after) {
-        callStore(
-                MetadataStore.watch(ALL_KEYS, after, isStoreUnavailable ? Duration.ZERO : WATCH_WAIT),
+        reader.read(
+                MetadataStore.watch(ALL_KEYS, after, reader.isAvailable() ? WATCH_WAIT : Duration.ZERO),
                 body -> {
                     MetadataStore.Changes changes = MetadataStore.decodeChanges(body);
-                    changes.changes().stream().filter(this::isNews).forEach(this::handleChange);
+                    List<Change> news = new ArrayList<>();
+                    for (Change c : changes.changes()) {
+                        if (isNews(c)) {
+                            news.add(handleChange(c));
+                        }
+                    }
+                    entries.apply(news, System.nanoTime());
                     if (hasChange(changes, EvacuationDecoder.KEY_PREFIX)) {
                         notifyListener("evacuations", () -> listener.evacuationsUpdated(evacuatedZones()));
                     }
@@ -257,9 +230,9 @@
                     if (hasChange(changes, GroupStore.PREFIX)) {
                         notifyListener("groups", () -> listener.groupsUpdated(copies(GroupStore.PREFIX)));
                     }
-                    boolean hasExpired = expireEntries();
+                    boolean hasExpired = entries.expire();
                     if (hasExpired || !changes.changes().isEmpty()) {
-                        notifyListener("upstreams", () -> listener.upstreamsUpdated(membership.upstreams()));
+                        notifyListener("upstreams", () -> listener.upstreamsUpdated(entries.list()));
                     }
                     setRevision(Math.max(revision.orElse(after), changes.revision()));
                     schedule(watchPause);
@@ -284,7 +257,8 @@
                 .collect(Collectors.toUnmodifiableSet());
     }
 
-    private void handleChange(Change c) {
+    /** Handles a change of a key that is not an upstream's; returns the change as far as it is mirrored. */
+    private Change handleChange(Change c) {
         Optional<Item> item = c.item().flatMap(keys::select);
         item.ifPresentOrElse(i -> copy.put(c.key(), i), () -> copy.remove(c.key()));
         if (c.key().equals(ConfigurationDecoder.KEY)) {
@@ -297,37 +271,7 @@
             notifyListener(
                     "leader-key", () -> listener.leaderKeyUpdated(c.item().isPresent()));
         }
-        if (!c.key().startsWith(UpstreamDecoder.KEY_PREFIX)) {
-            return;
-        }
-        String id = c.key().substring(UpstreamDecoder.KEY_PREFIX.length());
-        Optional<ListedUpstream> upstream = item.flatMap(this::decode);
-        if (upstream.isPresent()) {
-            logDraining(upstream.get());
-            membership.putEntry(upstream.get());
-            return;
-        }
-        logRemoved(id, membership.removeEntry(id, System.nanoTime()));
-    }
-
-    private static void logRemoved(String id, boolean isKept) {
-        LOG.info("upstream-removed").with("upstream", id).with("kept", isKept).write();
-    }
-
-    /** Drops the entries that were kept, once their time has passed; returns whether there were any. */
-    private boolean expireEntries() {
-        Set<String> dropped = membership.expire(System.nanoTime());
-        dropped.forEach(id -> LOG.info("upstream-expired").with("upstream", id).write());
-        return !dropped.isEmpty();
-    }
-
-    private void recordStoreServed(String by) {
-        membership
-                .recordStoreServed(System.nanoTime())
-                .ifPresent(unserved -> LOG.info("removed-entries-kept")
-                        .with("unserved-ms", unserved.toMillis())
-                        .with("served", by)
-                        .write());
+        return new Change(c.key(), item, c.revision());
     }
 
     private List<String> gateways() {
@@ -345,27 +289,6 @@
         return changes.changes().stream().anyMatch(c -> c.key().startsWith(prefix));
     }
 
-    private void logDraining(ListedUpstream u) {
-        if (u.isDraining() && loggedOnce.add("draining " + u.id())) {
-            LOG.info("upstream-draining").with("upstream", u.id()).write();
-        }
-    }
-
-    private Optional<ListedUpstream> decode(Item i) {
-        try {
-            return Optional.of(
-                    UpstreamDecoder.decode(i.key(), i.value(), entryTimes.receivedNanos(i, System.nanoTime())));
-        } catch (DecodeException e) {
-            if (loggedOnce.add(i.key())) {
-                LOG.warn("upstream-entry-unusable")
-                        .with("key", i.key())
-                        .with("why", e.getMessage())
-                        .write();
-            }
-            return Optional.empty();
-        }
-    }
-
     private void handleConfiguration(Item i) {
         try {
             RoutingTable table = ConfigurationDecoder.decode(i.value());
@@ -374,7 +297,7 @@
                 LOG.info("configuration-in-force")
                         .with("version", version)
                         .with("revision", i.revision())
-                        .with("age-ms", millisSinceLastResponse())
+                        .with("age-ms", reader.sinceLastResponse().toMillis())
                         .write();
                 notifyListener("configuration", () -> listener.configurationChanged(table));
             }
@@ -392,80 +315,28 @@
         new GuardedTask("notify-" + subject, notification).run();
     }
 
-    private long millisSinceLastResponse() {
-        return Duration.ofNanos(System.nanoTime() - lastResponseNanos).toMillis();
-    }
-
-    private void callStore(PlatformCall call, ResponseHandler handler) {
-        callStore(call, handler, this::handleUnavailable);
-    }
-
-    private void callStore(PlatformCall call, ResponseHandler handler, Consumer<String> tooLargeHandler) {
-        client.call(store, call, isStoreUnavailable ? OUTAGE_CALL_TIMEOUT : CALL_TIMEOUT)
-                .whenComplete((response, failure) -> {
-                    if (failure instanceof ResponseTooLargeException) {
-                        tooLargeHandler.accept(failure.getMessage());
-                        return;
-                    }
-                    if (failure != null) {
-                        handleUnavailable(failure.getMessage());
-                        return;
-                    }
-                    if (response.status() == MetadataStore.STATUS_COMPACTED) {
-                        LOG.info("store-history-gone")
-                                .with("revision", revision.orElse(0L))
-                                .write();
-                        revision = Optional.empty();
-                        schedule(Duration.ZERO);
-                        return;
-                    }
-                    if (response.status() != OK) {
-                        handleUnavailable("status " + response.status());
-                        return;
-                    }
-                    try {
-                        handleAvailable();
-                        handler.handle(response.body());
-                    } catch (DecodeException e) {
-                        handleUnavailable(e.getMessage());
-                    } catch (RuntimeException | StackOverflowError e) {
-                        LOG.error("store-response-unhandled", e).write();
-                        handleUnavailable("unexpected failure");
-                    }
-                });
+    @Override
+    public void readUnanswered() {
+        entries.recordUnansweredCall();
+        readPeerCopies();
+        schedule(Duration.ZERO);
     }
 
-    private void handleUnavailable(String reason) {
-        consecutiveFailures++;
-        membership.recordStoreFailure();
-        if (!isStoreUnavailable) {
-            isStoreUnavailable = true;
-            LOG.warn("store-lost").with("why", reason).write();
-        }
+    @Override
+    public void storeUnavailable(Duration delay) {
+        entries.recordStoreFailure();
         readPeerCopies();
-        Duration delay = INITIAL_BACKOFF.multipliedBy(Math.min(consecutiveFailures, MAX_BACKOFF_FACTOR));
-        schedule(delay.plus(Duration.ofNanos(random.nextLong(MAX_JITTER.toNanos()))));
+        schedule(delay);
     }
 
-    private void handleAvailable() {
-        consecutiveFailures = 0;
-        recordStoreServed("self");
-        if (isStoreUnavailable) {
-            isStoreUnavailable = false;
-            LOG.info("store-recovered")
-                    .with("after-ms", millisSinceLastResponse())
-                    .write();
-        }
-        lastResponseNanos = System.nanoTime();
+    @Override
+    public void historyGone() {
+        LOG.info("store-history-gone").with("revision", revision.orElse(0L)).write();
+        revision = Optional.empty();
+        schedule(Duration.ZERO);
     }
 
     private void schedule(Duration delay) {
         loop.schedule(this::readOrWatch, delay.toNanos(), TimeUnit.NANOSECONDS);
     }
-
-    /** Handles the body of a successful response. */
-    @FunctionalInterface
-    private interface ResponseHandler {
-        void handle(byte[] body) throws DecodeException;
-    }
 }
--- /dev/null
+++ b/gateway/src/main/java/org/citrontide/gateway/store/UpstreamEntries.java
@@ -0,0 +1,148 @@
+package org.citrontide.gateway.store;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.citrontide.core.gateway.MembershipView;
+import org.citrontide.core.outage.HeartbeatCounter;
+import org.citrontide.core.outage.Heartbeats;
+import org.citrontide.core.routes.ListedUpstream;
+import org.citrontide.platform.DecodeException;
+import org.citrontide.platform.MetadataStore.Change;
+import org.citrontide.platform.MetadataStore.Item;
+import org.citrontide.platform.UpstreamDecoder;
+import org.citrontide.runtime.log.EventLog;
+
+/**
+ * The upstreams of one gateway, from the entries that its mirror reads.
+ *
+ * <p>Invariants: an entry that can't be decoded yields no upstream and doesn't affect the others; the heartbeats that a
+ * read shows are known before any of its removals takes effect. Not thread-safe: confined to the event loop.
+ */
+final class UpstreamEntries {
+    private static final EventLog LOG = EventLog.of(UpstreamEntries.class);
+
+    private final MembershipView membership = new MembershipView();
+    private final HeartbeatCounter heartbeats = new HeartbeatCounter();
+    private final EntryTimes entryTimes = new EntryTimes();
+    private final Set<String> loggedOnce = new HashSet<>();
+
+    /** A change of an entry; empty if it was removed or has become unusable. */
+    private record EntryChange(String id, Optional<ListedUpstream> upstream) {}
+
+    /** Returns the upstreams considered available. */
+    List<ListedUpstream> list() {
+        return membership.upstreams();
+    }
+
+    void recordUnansweredCall() {
+        membership.recordUnansweredCall();
+    }
+
+    void recordStoreFailure() {
+        membership.recordStoreFailure();
+    }
+
+    /**
+     * Replaces all entries by those that the store has served.
+     *
+     * @param items all items of the store
+     * @param servedBy who was served, for the log
+     * @param servedNanos monotonic time in ns at which the store served them
+     */
+    void replaceAll(List<Item> items, String servedBy, long servedNanos) {
+        List<Item> entries = items.stream().filter(i -> isEntry(i.key())).toList();
+        entryTimes.retain(entries.stream().map(Item::key).collect(Collectors.toSet()));
+        List<ListedUpstream> upstreams = new ArrayList<>();
+        entries.forEach(i -> decode(i).ifPresent(upstreams::add));
+        heartbeats.retain(upstreams.stream().map(ListedUpstream::id).collect(Collectors.toSet()));
+        recordServed(heartbeats.take(), servedBy, servedNanos);
+        membership.replaceAll(upstreams, System.nanoTime()).forEach(UpstreamEntries::logRemoved);
+        expire();
+    }
+
+    /**
+     * Applies the changes that a watch has returned.
+     *
+     * @param changes changes of any keys, as far as they are mirrored, in revision order
+     * @param servedNanos monotonic time in ns at which the store served them
+     */
+    void apply(List<Change> changes, long servedNanos) {
+        List<EntryChange> entryChanges =
+                changes.stream().filter(c -> isEntry(c.key())).map(this::read).toList();
+        recordServed(heartbeats.take(), "self", servedNanos);
+        entryChanges.forEach(this::applyChange);
+    }
+
+    /** Drops the entries that were kept, once their time has passed; returns whether there were any. */
+    boolean expire() {
+        Set<String> dropped = membership.expire(System.nanoTime());
+        dropped.forEach(id -> LOG.info("upstream-expired").with("upstream", id).write());
+        return !dropped.isEmpty();
+    }
+
+    private void recordServed(Heartbeats counted, String servedBy, long servedNanos) {
+        membership
+                .recordStoreServed(counted, servedNanos)
+                .ifPresent(g -> LOG.info("removed-entries-kept")
+                        .with("unserved-ms", g.unserved().toMillis())
+                        .with("served", servedBy)
+                        .with("upstreams", counted.countByUpstream().size())
+                        .with(
+                                "heartbeats",
+                                counted.countByUpstream().values().stream()
+                                        .mapToLong(n -> n)
+                                        .sum())
+                        .write());
+    }
+
+    private EntryChange read(Change c) {
+        String id = c.key().substring(UpstreamDecoder.KEY_PREFIX.length());
+        Optional<ListedUpstream> upstream = c.item().flatMap(this::decode);
+        if (upstream.isEmpty()) {
+            heartbeats.recordRemoval(id);
+        }
+        return new EntryChange(id, upstream);
+    }
+
+    private void applyChange(EntryChange c) {
+        if (c.upstream().isEmpty()) {
+            logRemoved(c.id(), membership.removeEntry(c.id(), System.nanoTime()));
+            return;
+        }
+        ListedUpstream u = c.upstream().get();
+        if (u.isDraining() && loggedOnce.add("draining " + u.id())) {
+            LOG.info("upstream-draining").with("upstream", u.id()).write();
+        }
+        membership.putEntry(u);
+    }
+
+    private Optional<ListedUpstream> decode(Item i) {
+        try {
+            UpstreamDecoder.Entry e =
+                    UpstreamDecoder.decode(i.key(), i.value(), entryTimes.receivedNanos(i, System.nanoTime()));
+            heartbeats.recordEntry(e.upstream().id(), i.revision(), e.sequence());
+            return Optional.of(e.upstream());
+        } catch (DecodeException e) {
+            if (loggedOnce.add(i.key())) {
+                LOG.warn("upstream-entry-unusable")
+                        .with("key", i.key())
+                        .with("why", e.getMessage())
+                        .write();
+            }
+            return Optional.empty();
+        }
+    }
+
+    private static boolean isEntry(String key) {
+        return key.startsWith(UpstreamDecoder.KEY_PREFIX);
+    }
+
+    private static void logRemoved(String id, boolean isKept) {
+        LOG.info("upstream-removed").with("upstream", id).with("kept", isKept).write();
+    }
+}
