Drop kept upstreams when their grace period ends, without waiting for a read

What callers see: after an outage of the store, an upstream that left in it gets work for longer than the grace period of 2.2 s, by the pause between two reads and, if the next read gets no answer, by its timeouts.

Cause: expired entries were only dropped when a response arrived. A timer now ends the grace period.

Measured (aarch64): StoreOutageTest.aKeptUpstreamIsDroppedInTimeWithoutAnotherRead failed on the commit before (still listed after 20 s without an answer), and passes now, with the other five.

--- a/core/src/test/java/org/citrontide/core/gateway/MembershipViewTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/MembershipViewTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Checks the handling of removed and expired entries. */
 final class MembershipViewTest {
@@ -65,6 +66,19 @@
         assertEquals(List.of(), view.upstreams());
     }
 
+    /** Guards against a kept entry that outlives the time within which live upstreams write again. */
+    @Test
+    void theGracePeriodEndsAtTheTimeThatItsBeginNames() {
+        view.putEntry(upstream("a", false));
+        view.recordStoreServed(5 * SECOND);
+        view.recordStoreFailure();
+        long end = view.recordStoreServed(10 * SECOND).orElseThrow().endNanos();
+        assertEquals(10 * SECOND + 2_200_000_000L, end);
+        assertTrue(view.removeEntry("a", 10 * SECOND));
+        assertEquals(Set.of(), view.expire(end - 1));
+        assertEquals(Set.of("a"), view.expire(end));
+    }
+
     private static ListedUpstream upstream(String id, boolean draining) {
         return new ListedUpstream(id, "s", "10.0.0.1", 80, "z", 4, draining, 0);
     }
--- a/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
@@ -14,6 +14,7 @@
 import java.util.stream.Collectors;
 
 import io.netty.channel.EventLoop;
+import org.citrontide.core.gateway.MembershipView;
 import org.citrontide.core.routes.RoutingTable;
 import org.citrontide.platform.ConfigurationDecoder;
 import org.citrontide.platform.DecodeException;
@@ -198,7 +199,7 @@
         copy.clear();
         read.items().forEach(i -> copy.put(i.key(), i));
         Optional.ofNullable(copy.get(ConfigurationDecoder.KEY)).ifPresent(this::handleConfiguration);
-        entries.replaceAll(read.items(), servedBy, System.nanoTime());
+        entries.replaceAll(read.items(), servedBy, System.nanoTime()).ifPresent(this::scheduleEndOf);
         notifyListener("evacuations", () -> listener.evacuationsUpdated(evacuatedZones()));
         notifyListener("gateways", () -> listener.gatewaysUpdated(gateways()));
         notifyListener("crash-evidence", () -> listener.crashEvidenceUpdated(copies(CrashEvidenceStore.PREFIX)));
@@ -218,7 +219,7 @@
                             news.add(handleChange(c));
                         }
                     }
-                    entries.apply(news, System.nanoTime());
+                    entries.apply(news, System.nanoTime()).ifPresent(this::scheduleEndOf);
                     if (hasChange(changes, EvacuationDecoder.KEY_PREFIX)) {
                         notifyListener("evacuations", () -> listener.evacuationsUpdated(evacuatedZones()));
                     }
@@ -274,6 +275,16 @@
         return new Change(c.key(), item, c.revision());
     }
 
+    private void scheduleEndOf(MembershipView.GracePeriod grace) {
+        loop.schedule(this::endGracePeriod, grace.endNanos() - System.nanoTime(), TimeUnit.NANOSECONDS);
+    }
+
+    private void endGracePeriod() {
+        if (entries.expire()) {
+            notifyListener("upstreams", () -> listener.upstreamsUpdated(entries.list()));
+        }
+    }
+
     private List<String> gateways() {
         return copy.keySet().stream()
                 .filter(k -> k.startsWith(GatewayRegistration.PREFIX))
--- a/gateway/src/main/java/org/citrontide/gateway/store/UpstreamEntries.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/UpstreamEntries.java
@@ -8,6 +8,7 @@
 import java.util.stream.Collectors;
 
 import org.citrontide.core.gateway.MembershipView;
+import org.citrontide.core.gateway.MembershipView.GracePeriod;
 import org.citrontide.core.outage.HeartbeatCounter;
 import org.citrontide.core.outage.Heartbeats;
 import org.citrontide.core.routes.ListedUpstream;
@@ -53,16 +54,18 @@
      * @param items all items of the store
      * @param servedBy who was served, for the log
      * @param servedNanos monotonic time in ns at which the store served them
+     * @return the grace period that begins, if the store was away before
      */
-    void replaceAll(List<Item> items, String servedBy, long servedNanos) {
+    Optional<GracePeriod> replaceAll(List<Item> items, String servedBy, long servedNanos) {
         List<Item> entries = items.stream().filter(i -> isEntry(i.key())).toList();
         entryTimes.retain(entries.stream().map(Item::key).collect(Collectors.toSet()));
         List<ListedUpstream> upstreams = new ArrayList<>();
         entries.forEach(i -> decode(i).ifPresent(upstreams::add));
         heartbeats.retain(upstreams.stream().map(ListedUpstream::id).collect(Collectors.toSet()));
-        recordServed(heartbeats.take(), servedBy, servedNanos);
+        Optional<GracePeriod> grace = recordServed(heartbeats.take(), servedBy, servedNanos);
         membership.replaceAll(upstreams, System.nanoTime()).forEach(UpstreamEntries::logRemoved);
         expire();
+        return grace;
     }
 
     /**
@@ -70,12 +73,14 @@
      *
      * @param changes changes of any keys, as far as they are mirrored, in revision order
      * @param servedNanos monotonic time in ns at which the store served them
+     * @return the grace period that begins, if the store was away before
      */
-    void apply(List<Change> changes, long servedNanos) {
+    Optional<GracePeriod> apply(List<Change> changes, long servedNanos) {
         List<EntryChange> entryChanges =
                 changes.stream().filter(c -> isEntry(c.key())).map(this::read).toList();
-        recordServed(heartbeats.take(), "self", servedNanos);
+        Optional<GracePeriod> grace = recordServed(heartbeats.take(), "self", servedNanos);
         entryChanges.forEach(this::applyChange);
+        return grace;
     }
 
     /** Drops the entries that were kept, once their time has passed; returns whether there were any. */
@@ -85,19 +90,19 @@
         return !dropped.isEmpty();
     }
 
-    private void recordServed(Heartbeats counted, String servedBy, long servedNanos) {
-        membership
-                .recordStoreServed(counted, servedNanos)
-                .ifPresent(g -> LOG.info("removed-entries-kept")
-                        .with("unserved-ms", g.unserved().toMillis())
-                        .with("served", servedBy)
-                        .with("upstreams", counted.countByUpstream().size())
-                        .with(
-                                "heartbeats",
-                                counted.countByUpstream().values().stream()
-                                        .mapToLong(n -> n)
-                                        .sum())
-                        .write());
+    private Optional<GracePeriod> recordServed(Heartbeats counted, String servedBy, long servedNanos) {
+        Optional<GracePeriod> grace = membership.recordStoreServed(counted, servedNanos);
+        grace.ifPresent(g -> LOG.info("removed-entries-kept")
+                .with("unserved-ms", g.unserved().toMillis())
+                .with("served", servedBy)
+                .with("upstreams", counted.countByUpstream().size())
+                .with(
+                        "heartbeats",
+                        counted.countByUpstream().values().stream()
+                                .mapToLong(n -> n)
+                                .sum())
+                .write());
+        return grace;
     }
 
     private EntryChange read(Change c) {
--- a/gateway/src/test/java/org/citrontide/gateway/store/StoreOutageTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/store/StoreOutageTest.java
@@ -70,6 +70,19 @@
                 () -> "lists: " + lists.all());
     }
 
+    /** Guards against an upstream that left in an outage and gets work until the next read is answered. */
+    @Test
+    void aKeptUpstreamIsDroppedInTimeWithoutAnotherRead() {
+        startUpstreams("a", "b", "left");
+        startMirror(List.of());
+        expireInOutage(Mode.REFUSING, "left");
+        int known = lists.all().size();
+        await("the removal was read", () -> lists.all().size() > known);
+        store.setMode(Mode.HANGING);
+        assertTrue(lists.latest().contains("left"));
+        await("the upstream is dropped", () -> lists.latest().equals(Set.of("a", "b")));
+    }
+
     /** Plays an outage in which no upstream can write and the given entries expire. */
     private void expireInOutage(Mode outage, String... ids) {
         store.setMode(outage);
