Drop an upstream at once if it leaves after it has written its entry since an outage

Cause: the grace period kept each removed entry, although one that was written since the outage can't have expired in it. Writes in the first read after the outage may be older than it and still don't count.

--- a/core/src/main/java/org/citrontide/core/gateway/MembershipView.java
+++ b/core/src/main/java/org/citrontide/core/gateway/MembershipView.java
@@ -20,7 +20,8 @@
  *
  * <p>Invariants: an entry that is removed while the store takes heartbeats is dropped immediately; one that is missing
  * after an outage of the store is kept for a grace period, because entries expire while upstreams can't renew them and
- * each upstream needs time to write its entry again. Not thread-safe.
+ * each upstream needs time to write its entry again; one that was written since the outage can't have expired in it,
+ * and its removal takes effect at once. Not thread-safe.
  */
 public final class MembershipView {
     // After an outage of the store, live upstreams write their entries again within this time.
@@ -28,6 +29,7 @@
 
     private final Map<String, ListedUpstream> current = new HashMap<>();
     private final Map<String, ListedUpstream> expired = new HashMap<>();
+    private final Set<String> writtenSinceOutage = new HashSet<>();
     private final StoreOutageDetector outageDetector = new StoreOutageDetector();
     private OptionalLong graceEndNanos = OptionalLong.empty();
 
@@ -70,7 +72,13 @@
         Optional<GracePeriod> begun = outageDetector
                 .recordServed(heartbeats, nowNanos)
                 .map(unserved -> new GracePeriod(unserved, nowNanos + REREGISTRATION_GRACE.toNanos()));
-        begun.ifPresent(g -> graceEndNanos = OptionalLong.of(g.endNanos()));
+        if (begun.isPresent()) {
+            graceEndNanos = OptionalLong.of(begun.get().endNanos());
+            // The read may also show entries that were written before the outage.
+            writtenSinceOutage.clear();
+        } else if (isInGracePeriod(nowNanos)) {
+            writtenSinceOutage.addAll(heartbeats.written());
+        }
         return begun;
     }
 
@@ -113,7 +121,7 @@
      */
     public boolean removeEntry(String id, long nowNanos) {
         ListedUpstream u = current.remove(id);
-        boolean isKept = u != null && !u.isDraining() && isInGracePeriod(nowNanos);
+        boolean isKept = u != null && !u.isDraining() && isInGracePeriod(nowNanos) && !writtenSinceOutage.contains(id);
         if (isKept) {
             expired.put(id, u);
         }
--- a/core/src/test/java/org/citrontide/core/gateway/MembershipViewTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/MembershipViewTest.java
@@ -1,12 +1,15 @@
 package org.citrontide.core.gateway;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
+import org.citrontide.core.outage.Heartbeats;
 import org.citrontide.core.routes.ListedUpstream;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Checks the handling of removed and expired entries. */
@@ -66,6 +69,20 @@
         assertEquals(List.of(), view.upstreams());
     }
 
+    /** Guards against an upstream that left after an outage and gets work until the grace period ends. */
+    @Test
+    void anEntryWrittenSinceAnOutageIsDroppedImmediately() {
+        view.putEntry(upstream("a", false));
+        view.putEntry(upstream("b", false));
+        view.recordStoreServed(5 * SECOND);
+        view.recordStoreFailure();
+        view.recordStoreServed(new Heartbeats(Map.of(), Set.of("b")), 10 * SECOND);
+        view.recordStoreServed(new Heartbeats(Map.of(), Set.of("a")), 11 * SECOND);
+        assertFalse(view.removeEntry("a", 11 * SECOND));
+        assertTrue(view.removeEntry("b", 11 * SECOND), "may have been written before the outage");
+        assertEquals(List.of(upstream("b", false)), view.upstreams());
+    }
+
     /** Guards against a kept entry that outlives the time within which live upstreams write again. */
     @Test
     void theGracePeriodEndsAtTheTimeThatItsBeginNames() {
