Count the copy of a peer as service of the store at the time it was read

What callers see: after an outage of the store of 3.6 s, a gateway whose peer had answered with a copy from before the outage drops upstreams whose entries expired, up to 2 s before they have written again, and refuses requests although all upstreams live.

Cause: a copy of up to 2.5 s of age counted as service at the moment at which it arrived, so the rest of the outage seemed too short for entries to expire. The same error in the other direction made a time without service look longer than the heartbeats in the copy explain. Copies now tell their age; one that doesn't (an earlier version of the gateway) counts as old as a copy may be.

--- a/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
@@ -111,8 +111,9 @@
      * @return the items in the encoding of the store's own response, or empty if the store has not responded recently
      */
     public Optional<byte[]> page() {
-        boolean isFresh = reader.isAvailable() && reader.sinceLastResponse().compareTo(MAX_COPY_AGE) < 0;
-        return revision.filter(r -> isFresh).map(r -> MetadataStore.encodePage(copy.values(), r));
+        Duration age = reader.sinceLastResponse();
+        boolean isFresh = reader.isAvailable() && age.compareTo(MAX_COPY_AGE) < 0;
+        return revision.filter(r -> isFresh).map(r -> MetadataStore.encodeCopy(copy.values(), r, age));
     }
 
     /** Returns the pause between two watches that leaves enough of the limit for changes. */
@@ -138,7 +139,7 @@
                 return;
             }
             isFullReadDue = false;
-            handleFullRead(read, "self");
+            handleFullRead(read, "self", System.nanoTime());
             setRevision(read.revision());
             LOG.info("store-read")
                     .with("revision", read.revision())
@@ -184,22 +185,24 @@
         if (page.revision() < newestRevision || page.revision() <= revision.orElse(0L)) {
             return;
         }
+        Duration age = page.age().filter(a -> !a.isNegative()).orElse(MAX_COPY_AGE);
         LOG.info("store-read-from-peer")
                 .with("peer", peer)
+                .with("age-ms", age.toMillis())
                 .with("revision", page.revision())
                 .with("own-revision", revision.orElse(0L))
                 .write();
         FullRead read = new FullRead(keys);
         read.add(page);
-        handleFullRead(read, "peer");
+        handleFullRead(read, "peer", System.nanoTime() - age.toNanos());
         setRevision(page.revision());
     }
 
-    private void handleFullRead(FullRead read, String servedBy) {
+    private void handleFullRead(FullRead read, String servedBy, long servedNanos) {
         copy.clear();
         read.items().forEach(i -> copy.put(i.key(), i));
         Optional.ofNullable(copy.get(ConfigurationDecoder.KEY)).ifPresent(this::handleConfiguration);
-        entries.replaceAll(read.items(), servedBy, System.nanoTime()).ifPresent(this::scheduleEndOf);
+        entries.replaceAll(read.items(), servedBy, servedNanos).ifPresent(this::scheduleEndOf);
         notifyListener("evacuations", () -> listener.evacuationsUpdated(evacuatedZones()));
         notifyListener("gateways", () -> listener.gatewaysUpdated(gateways()));
         notifyListener("crash-evidence", () -> listener.crashEvidenceUpdated(copies(CrashEvidenceStore.PREFIX)));
--- a/gateway/src/test/java/org/citrontide/gateway/store/StoreOutageTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/store/StoreOutageTest.java
@@ -3,12 +3,15 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
 
 import org.citrontide.fakes.http.FakeServer;
 import org.citrontide.fakes.platform.FakePlatformStore.Mode;
+import org.citrontide.platform.MetadataStore;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -21,7 +24,10 @@
     private static final int UNAVAILABLE = 503;
     // Entries expire after three heartbeats of about 1.2 s each.
     private static final long OUTAGE_MS = 4000;
+    private static final long SHORT_OUTAGE_MS = 3600;
     private static final long REREGISTRATION_PAUSE_MS = 250;
+    // Within the two seconds that live upstreams take at most.
+    private static final long LATE_REREGISTRATION_MS = 1500;
 
     /** Guards against work for an upstream that was removed while the connections to the store were silent. */
     @Test
@@ -83,6 +89,49 @@
         await("the upstream is dropped", () -> lists.latest().equals(Set.of("a", "b")));
     }
 
+    /**
+     * Guards against callers who are refused because the old copy of a peer passed for service in the middle of an
+     * outage, the rest of which seemed too short for entries to expire.
+     */
+    @Test
+    void anOldCopyOfAPeerDoesNotShortenAnOutage() throws Exception {
+        startUpstreams("a", "b", "c");
+        AtomicReference<Optional<String>> copy = new AtomicReference<>(Optional.empty());
+        try (FakeServer peer = new FakeServer(
+                new InetSocketAddress("127.0.0.1", 0),
+                call -> copy.getAndSet(Optional.empty())
+                        .map(FakeServer.Reply::json)
+                        .orElseGet(() -> FakeServer.Reply.status(UNAVAILABLE)))) {
+            startMirror(List.of(new InetSocketAddress("127.0.0.1", peer.port())));
+            proxy.silence();
+            proxy.setHeld(true);
+            join("a");
+            copy.set(Optional.of(readStore().replace("\"truncated\"", "\"age_ms\":2200,\"truncated\"")));
+            List.of("a", "b", "c").forEach(this::silence);
+            store.setMode(Mode.HANGING);
+            pause(SHORT_OUTAGE_MS);
+            assertEquals(Optional.empty(), copy.get(), "the copy was read");
+            List.of("a", "b", "c").forEach(this::leave);
+            store.setMode(Mode.UP);
+            proxy.setHeld(false);
+            pause(LATE_REREGISTRATION_MS);
+            List.of("a", "b", "c").forEach(this::join);
+            int known = lists.all().size();
+            await("the new entries are read", () -> lists.all().size() >= known + 3);
+        }
+        assertTrue(lists.all().stream().allMatch(l -> l.size() == 3), () -> "lists: " + lists.all());
+    }
+
+    private String readStore() throws Exception {
+        InetSocketAddress address = new InetSocketAddress("127.0.0.1", store.port());
+        byte[] page = loop.submit(() ->
+                        PlatformClient.forStore(loop).call(address, MetadataStore.range("", ""), Duration.ofSeconds(5)))
+                .get()
+                .get()
+                .body();
+        return new String(page, StandardCharsets.UTF_8);
+    }
+
     /** Plays an outage in which no upstream can write and the given entries expire. */
     private void expireInOutage(Mode outage, String... ids) {
         store.setMode(outage);
