Close idle connections that fell silent together with one that got no answer

Cause: after a timeout only the connection of that call was dropped, and the next call took the next idle one.

Change: a call to the store or a peer without a response closes the idle connections to its address on which nothing was received since it was sent. Engines leave orders unanswered on connections that work, so calls to them close only their own.

--- a/gateway/src/main/java/org/citrontide/gateway/store/PlatformClient.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/PlatformClient.java
@@ -47,11 +47,12 @@
  * connections.
  *
  * <p>Invariants: each future completes, at the latest after its timeout; a connection on which a call got no response
- * is not reused, nor is one on which anything arrived behind a response; after a timeout or a malformed response it is
- * reset, which drops what is unsent; a call with bytes behind its response fails, because responses have no IDs and the
- * first may repeat that to an earlier call; a response whose end is decoded after the channel was closed is incomplete,
- * because the channel stays open when the server ends the connection (half-closure). Not thread-safe: confined to the
- * event loop.
+ * is not reused, nor is one on which anything arrived behind a response; a call to the store or a peer without a
+ * response closes the idle connections to the same address that have been silent since it was sent, because they may
+ * all have fallen silent at once; after a timeout or a malformed response a connection is reset, which drops what is
+ * unsent; a call with bytes behind its response fails, because responses have no IDs and the first may repeat that to
+ * an earlier call; a response whose end is decoded after the channel was closed is incomplete, because the channel
+ * stays open when the server ends the connection (half-closure). Not thread-safe: confined to the event loop.
  */
 public final class PlatformClient {
     private static final EventLog LOG = EventLog.of(PlatformClient.class);
@@ -64,12 +65,20 @@
 
     private final EventLoop loop;
     private final int maxResponseBytes;
+    private final boolean isAlwaysAnswered;
     private final Map<InetSocketAddress, Deque<Connection>> idleConnections = new HashMap<>();
     private long callCount;
 
-    private PlatformClient(EventLoop loop, int maxResponseBytes) {
+    /**
+     * Creates a client.
+     *
+     * @param isAlwaysAnswered whether a call without a response shows that connections have fallen silent; engines
+     *     leave orders unanswered on connections that work
+     */
+    private PlatformClient(EventLoop loop, int maxResponseBytes, boolean isAlwaysAnswered) {
         this.loop = loop;
         this.maxResponseBytes = maxResponseBytes;
+        this.isAlwaysAnswered = isAlwaysAnswered;
     }
 
     /**
@@ -79,7 +88,7 @@
      * @return the client
      */
     public static PlatformClient forStore(EventLoop loop) {
-        return new PlatformClient(loop, MAX_STORE_RESPONSE_BYTES);
+        return new PlatformClient(loop, MAX_STORE_RESPONSE_BYTES, true);
     }
 
     /**
@@ -89,7 +98,7 @@
      * @return the client
      */
     public static PlatformClient forEngines(EventLoop loop) {
-        return new PlatformClient(loop, MAX_ENGINE_RESPONSE_BYTES);
+        return new PlatformClient(loop, MAX_ENGINE_RESPONSE_BYTES, false);
     }
 
     /**
@@ -186,12 +195,30 @@
         response.whenComplete((r, f) -> timer.cancel(false));
     }
 
+    /** Closes the idle connections to an address on which nothing was received since the given time. */
+    private void closeSilentConnections(InetSocketAddress address, long sinceNanos) {
+        List<Connection> silent = idleConnections.getOrDefault(address, new ArrayDeque<>()).stream()
+                .filter(c -> c.respondedNanos - sinceNanos < 0)
+                .toList();
+        if (silent.isEmpty()) {
+            return;
+        }
+        LOG.info("platform-connections-closed")
+                .with("address", address)
+                .with("why", "silent")
+                .with("count", silent.size())
+                .write();
+        silent.forEach(Connection::reset);
+    }
+
     /** A connection that carries one call at a time. */
     private final class Connection extends SimpleChannelInboundHandler<Object> {
         private final InetSocketAddress address;
         private final ResponseDecoder decoder;
         private ProbedSocketChannel channel;
         private CompletableFuture<PlatformResponse> pendingResponse;
+        private long sentNanos;
+        private long respondedNanos;
 
         private Connection(InetSocketAddress address, ResponseDecoder decoder) {
             this.address = address;
@@ -216,6 +243,7 @@
 
         private void send(PlatformCall call, CompletableFuture<PlatformResponse> response) {
             pendingResponse = response;
+            sentNanos = System.nanoTime();
             DefaultFullHttpRequest r = new DefaultFullHttpRequest(
                     HttpVersion.HTTP_1_1,
                     HttpMethod.valueOf(call.method()),
@@ -267,6 +295,7 @@
             }
             CompletableFuture<PlatformResponse> response = pendingResponse;
             pendingResponse = null;
+            respondedNanos = System.nanoTime();
             if (HttpUtil.isKeepAlive(r)) {
                 idleConnections
                         .computeIfAbsent(address, a -> new ArrayDeque<>())
@@ -323,6 +352,9 @@
                 return;
             }
             reset();
+            if (isAlwaysAnswered) {
+                closeSilentConnections(address, sentNanos);
+            }
             failUnanswered(response, "no response within the timeout");
         }
 
--- a/gateway/src/test/java/org/citrontide/gateway/store/PlatformClientTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/store/PlatformClientTest.java
@@ -7,13 +7,18 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Set;
+import java.util.concurrent.BrokenBarrierException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CyclicBarrier;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -57,6 +62,44 @@
         }
     }
 
+    // Guards against connections that fell silent together and each cost the timeout of a call.
+    @Test
+    void aCallWithoutResponseClosesTheIdleConnectionsThatFellSilentWithItsOwn() throws Exception {
+        MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        CyclicBarrier allCalled = new CyclicBarrier(3);
+        AtomicBoolean isTogether = new AtomicBoolean(true);
+        try (FakeHttpUpstream store = new FakeHttpUpstream("a", (r, reply) -> {
+                    if (isTogether.get()) {
+                        awaitAll(allCalled);
+                    }
+                    writeStatus(reply, "200 OK");
+                });
+                HoldingProxy proxy = new HoldingProxy(address(store).getPort())) {
+            InetSocketAddress address = new InetSocketAddress("127.0.0.1", proxy.port());
+            EventLoop loop = loops.next();
+            PlatformClient client = PlatformClient.forStore(loop);
+            PlatformCall call = new PlatformCall("GET", "/", new byte[0]);
+            List<CompletableFuture<PlatformResponse>> first = Stream.generate(
+                            () -> loop.submit(() -> client.call(address, call, TIMEOUT))
+                                    .syncUninterruptibly()
+                                    .getNow())
+                    .limit(3)
+                    .toList();
+            for (CompletableFuture<PlatformResponse> f : first) {
+                assertEquals(200, f.get().status());
+            }
+            isTogether.set(false);
+            proxy.silence();
+            ExecutionException failure = assertThrows(
+                    ExecutionException.class,
+                    () -> status(loop, () -> client.call(address, call, Duration.ofMillis(300))));
+            assertInstanceOf(UnansweredCallException.class, failure.getCause());
+            assertEquals(200, status(loop, () -> client.call(address, call, TIMEOUT)));
+        } finally {
+            loops.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+        }
+    }
+
     // Guards against documents of the platform that are cut off by a reset and taken for complete.
     @Test
     void responseWithoutLengthIsCompleteOnlyIfItsConnectionIsNotReset() throws Exception {
@@ -200,4 +243,12 @@
                 .get(TIMEOUT.toSeconds(), TimeUnit.SECONDS)
                 .status();
     }
+
+    private static void awaitAll(CyclicBarrier barrier) throws IOException, InterruptedException {
+        try {
+            barrier.await();
+        } catch (BrokenBarrierException e) {
+            throw new IOException(e);
+        }
+    }
 }
