--- a/gateway/src/main/java/org/citrontide/gateway/store/LeaderElection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/LeaderElection.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoop;
@@ -20,7 +21,8 @@
  * Elects one of the gateway processes as the leader: the one that wrote the leader key under a lease of the store.
  *
  * <p>Invariant: a process considers itself the leader only while its lease is certain to be valid, measured on both
- * clocks from before the call that granted or renewed the lease. Not thread-safe: confined to the event loop.
+ * clocks from before the call that granted or renewed the lease; a single renewal without a response does not end a
+ * term. Not thread-safe: confined to the event loop.
  */
 public final class LeaderElection {
     /** Key that the leader writes; its value is the name of the leader's VM. */
@@ -58,6 +60,13 @@
     private boolean isAttemptPending;
     private boolean isKeyHeld = true;
     private boolean hasResigned;
+    private boolean wasUnanswered;
+
+    /** A way to send a call to the store. */
+    @FunctionalInterface
+    private interface StoreCall {
+        CompletableFuture<PlatformResponse> send(InetSocketAddress address, PlatformCall call, Duration timeout);
+    }
 
     /**
      * Creates a candidate.
@@ -169,6 +178,7 @@
 
     private void startTerm(long number, long term) {
         leaseNumber = OptionalLong.of(number);
+        wasUnanswered = false;
         lease.recordGrant();
         if (!lease.isValid(System.nanoTime(), System.currentTimeMillis())) {
             endLease(number);
@@ -190,9 +200,13 @@
         if (!isLeader) {
             return;
         }
+        sendRenewal(client::call);
+    }
+
+    private void sendRenewal(StoreCall send) {
         long number = leaseNumber.orElseThrow();
         lease.recordRequest(System.nanoTime(), System.currentTimeMillis());
-        client.call(store, MetadataStore.renewLease(number), CALL_TIMEOUT).whenComplete((response, failure) -> {
+        send.send(store, MetadataStore.renewLease(number), CALL_TIMEOUT).whenComplete((response, failure) -> {
             if (!isLeader || leaseNumber.isEmpty() || leaseNumber.getAsLong() != number) {
                 return;
             }
@@ -202,6 +216,14 @@
             }
             if (failure == null && response.status() == OK) {
                 lease.recordGrant();
+                wasUnanswered = false;
+            }
+            if (failure instanceof UnansweredCallException && !wasUnanswered) {
+                // The connection may have fallen silent; at the usual interval the lease would end before a response.
+                wasUnanswered = true;
+                LOG.info("lease-renewal-unanswered").with("lease", number).write();
+                sendRenewal(client::callOnNewConnection);
+                return;
             }
             renewLater();
         });
--- /dev/null
+++ b/gateway/src/test/java/org/citrontide/gateway/store/LeaderElectionTest.java
@@ -0,0 +1,93 @@
+package org.citrontide.gateway.store;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.citrontide.core.lease.CandidacyDelay;
+import org.citrontide.fakes.http.FakeServer;
+import org.citrontide.fakes.net.HoldingProxy;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Tests an election at a store that grants leases and whose connections fall silent. */
+final class LeaderElectionTest {
+    private static final double LINK_MBPS = 1000;
+    private static final long AWAIT_SECONDS = 20;
+    private static final long CHECK_INTERVAL_MS = 20;
+
+    private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final AtomicInteger renewals = new AtomicInteger();
+    private final AtomicInteger elections = new AtomicInteger();
+    private final AtomicInteger depositions = new AtomicInteger();
+
+    @AfterEach
+    void stop() {
+        loops.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
+    /** Guards against a group whose map nobody adapts for seconds because the leader's connection fell silent. */
+    @Test
+    void aSilentConnectionDoesNotEndATerm() throws IOException {
+        try (FakeServer store = new FakeServer(new InetSocketAddress("127.0.0.1", 0), this::serve);
+                HoldingProxy proxy = new HoldingProxy(store.port())) {
+            startCandidate(proxy.port());
+            for (int i = 1; i <= 3; i++) {
+                int known = renewals.get();
+                await("the lease is renewed", () -> renewals.get() >= known + 2);
+                proxy.silence();
+            }
+            int known = renewals.get();
+            await("the lease is renewed after the last silence", () -> renewals.get() >= known + 2);
+        }
+        assertEquals(1, elections.get());
+        assertEquals(0, depositions.get());
+    }
+
+    private FakeServer.Reply serve(FakeServer.Call call) {
+        if (call.target().startsWith("POST /-/kv-keep/")) {
+            renewals.incrementAndGet();
+        }
+        return FakeServer.Reply.json("{\"lease\":1,\"ttl_ms\":2000,\"revision\":7}");
+    }
+
+    private void startCandidate(int storePort) {
+        EventLoop loop = loops.next();
+        LeaderElection election = new LeaderElection(
+                PlatformClient.forStore(loop),
+                new InetSocketAddress("127.0.0.1", storePort),
+                loop,
+                new CandidacyDelay(LINK_MBPS, new SplittableRandom(1)),
+                "vm1",
+                new LeaderElection.Listener() {
+                    @Override
+                    public void elected(long term) {
+                        elections.incrementAndGet();
+                    }
+
+                    @Override
+                    public void deposed() {
+                        depositions.incrementAndGet();
+                    }
+                });
+        loop.scheduleAtFixedRate(election::checkLease, 0, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        loop.execute(() -> election.handleLeaderKey(false));
+    }
+
+    private static void await(String description, BooleanSupplier condition) {
+        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(AWAIT_SECONDS);
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() < deadline, "timed out waiting until " + description);
+            Thread.onSpinWait();
+        }
+    }
+}
