Let a candidate stand again after its write of the leader key failed

What callers see: a group whose map nobody adapts, in a deployment with one gateway or if the writes of all candidates failed.

A write of the leader key that got no answer or a refusal was taken for the key of another leader, and no removal of that key ever came. Only a failed precondition says that another one holds the key; after any other failure the candidate now stands again once its lease has expired.

Measured (aarch64): LeaderElectionTest.aCandidateWhoseWriteFailedStandsAgain failed on the commit before (not elected within 20 s), passes now; aCandidateWaitsWhileAnotherHoldsTheKey passes on both.

--- a/gateway/src/main/java/org/citrontide/gateway/store/LeaderElection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/LeaderElection.java
@@ -163,7 +163,7 @@
             isAttemptPending = false;
             if (failure != null || response.status() != OK || hasResigned) {
                 // A write without a response may still be carried out; ending the lease removes its key.
-                isKeyHeld = true;
+                isKeyHeld = failure == null && response.status() == MetadataStore.STATUS_PRECONDITION_FAILED;
                 endLease(number);
                 return;
             }
--- a/gateway/src/test/java/org/citrontide/gateway/store/LeaderElectionTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/store/LeaderElectionTest.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -13,6 +14,7 @@
 import org.citrontide.core.lease.CandidacyDelay;
 import org.citrontide.fakes.http.FakeServer;
 import org.citrontide.fakes.net.HoldingProxy;
+import org.citrontide.platform.MetadataStore;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -23,6 +25,7 @@
 final class LeaderElectionTest {
     private static final double LINK_MBPS = 1000;
     private static final long AWAIT_SECONDS = 20;
+    private static final int UNAVAILABLE = 503;
     private static final long CHECK_INTERVAL_MS = 20;
 
     private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -53,6 +56,40 @@
         assertEquals(0, depositions.get());
     }
 
+    /** Guards against a candidate that takes the failure of its own write for the key of another leader, for good. */
+    @Test
+    void aCandidateWhoseWriteFailedStandsAgain() throws IOException {
+        AtomicInteger writes = new AtomicInteger();
+        try (FakeServer store = new FakeServer(
+                new InetSocketAddress("127.0.0.1", 0),
+                call -> call.target().equals("POST /-/kv-txn") && writes.getAndIncrement() == 0
+                        ? FakeServer.Reply.status(UNAVAILABLE)
+                        : serve(call))) {
+            startCandidate(store.port());
+            await("the candidate is elected", () -> elections.get() == 1);
+        }
+        assertEquals(2, writes.get());
+    }
+
+    /** Guards against a candidate that stands again and again while another one leads. */
+    @Test
+    void aCandidateWaitsWhileAnotherHoldsTheKey() throws IOException {
+        AtomicInteger writes = new AtomicInteger();
+        try (FakeServer store = new FakeServer(new InetSocketAddress("127.0.0.1", 0), call -> {
+            if (!call.target().equals("POST /-/kv-txn")) {
+                return serve(call);
+            }
+            writes.incrementAndGet();
+            return FakeServer.Reply.status(MetadataStore.STATUS_PRECONDITION_FAILED);
+        })) {
+            startCandidate(store.port());
+            await("the candidate has tried", () -> writes.get() == 1);
+            pause(Duration.ofSeconds(3));
+        }
+        assertEquals(1, writes.get());
+        assertEquals(0, elections.get());
+    }
+
     private FakeServer.Reply serve(FakeServer.Call call) {
         if (call.target().startsWith("POST /-/kv-keep/")) {
             renewals.incrementAndGet();
@@ -83,6 +120,14 @@
         loop.execute(() -> election.handleLeaderKey(false));
     }
 
+    private static void pause(Duration duration) {
+        try {
+            Thread.sleep(duration);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private static void await(String description, BooleanSupplier condition) {
         long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(AWAIT_SECONDS);
         while (!condition.getAsBoolean()) {
