Close idle connections to upstreams once they can't be used again

Cause: UpstreamConnectionPool kept an idle connection until its channel became inactive. Once the time that the upstream had announced was over it was skipped by each request, but nothing closed it. A check once a second now closes what can't be used again; no connection is opened because of it.

--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnectionPool.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnectionPool.java
@@ -1,5 +1,6 @@
 package org.citrontide.gateway.upstream;
 
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -7,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
@@ -22,18 +24,21 @@
 import org.citrontide.gateway.http.ProbedSocketChannel;
 import org.citrontide.gateway.http.ResponseDecoder;
 import org.citrontide.platform.PlatformHeaders;
+import org.citrontide.runtime.eventloop.GuardedTask;
 
 /**
  * A pool of connections to upstreams, which opens connections on demand, keeps them for as long as the upstream
  * announced, and reuses the most recently used one first.
  *
- * <p>Invariant: a connection is used only for the upstream that it was opened for, even if the upstream list later
- * assigns its address to another one; it is used again only if nothing has arrived on it since its last response. Not
+ * <p>Invariants: a connection is used only for the upstream that it was opened for, even if the upstream list later
+ * assigns its address to another one; it is used again only if nothing has arrived on it since its last response; an
+ * idle connection is closed once it can't be used again, because its upstream may have dropped it without notice. Not
  * thread-safe: owned by the event loop.
  */
 public final class UpstreamConnectionPool {
     // Allows for several round trips between zones; a longer timeout only delays the selection of another upstream.
     private static final int CONNECT_TIMEOUT_MS = 400;
+    private static final Duration EXPIRY_CHECK_INTERVAL = Duration.ofSeconds(1);
     // One read a turn, so that an upstream with much to send leaves the other connections their turn.
     private static final int MIN_READ_BYTES = 512;
     private static final int INITIAL_READ_BYTES = 2048;
@@ -51,6 +56,7 @@
     private final Map<String, Deque<UpstreamConnection>> idleByKey = new HashMap<>();
     private final Map<Long, UpstreamAttempt> keptByNumber = new HashMap<>();
     private long openedCount;
+    private boolean isExpiryCheckScheduled;
 
     /**
      * Creates an empty pool.
@@ -182,6 +188,7 @@
 
     void addIdle(UpstreamConnection connection) {
         idleByKey.computeIfAbsent(connection.poolKey(), u -> new ArrayDeque<>()).addFirst(connection);
+        scheduleExpiryCheck();
     }
 
     void remove(UpstreamConnection connection) {
@@ -191,6 +198,34 @@
         }
     }
 
+    private void scheduleExpiryCheck() {
+        if (isExpiryCheckScheduled) {
+            return;
+        }
+        isExpiryCheckScheduled = true;
+        loop.schedule(
+                new GuardedTask("upstream-connection-expiry", this::closeExpired),
+                EXPIRY_CHECK_INTERVAL.toMillis(),
+                TimeUnit.MILLISECONDS);
+    }
+
+    private void closeExpired() {
+        isExpiryCheckScheduled = false;
+        long nowNanos = System.nanoTime();
+        List<UpstreamConnection> expired = idleByKey.values().stream()
+                .flatMap(Deque::stream)
+                .filter(c -> !c.isUsable(false, nowNanos))
+                .toList();
+        for (UpstreamConnection c : expired) {
+            remove(c);
+            c.close();
+        }
+        idleByKey.values().removeIf(Deque::isEmpty);
+        if (!idleByKey.isEmpty()) {
+            scheduleExpiryCheck();
+        }
+    }
+
     private Optional<UpstreamConnection> pollIdle(UpstreamAttempt attempt) {
         Deque<UpstreamConnection> idleConnections =
                 idleByKey.get(attempt.upstream().instanceKey());
