Deliver large responses whole to callers who read slowly

Cause: the idle timeout counted from the moment at which the response was handed over, although the connection is not idle until it is written. While a response is unwritten a connection is now closed only if the socket takes nothing for 60 s; the socket reports in steps of up to a third of its send buffer. Afterwards the idle timeout counts from the end of the response. Memory is bounded as before: callers who don't read are disconnected when it is needed.

--- a/gateway/src/main/java/org/citrontide/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/caller/CallerConnection.java
@@ -37,8 +37,8 @@
  * A caller's connection, which reads complete requests, dispatches one at a time, and writes the responses in order.
  *
  * <p>Invariants: a response is sent only to the current request; an aborted response closes the connection, so that the
- * caller can't mistake it for a complete one; a connection is idle only once its responses are written. Not
- * thread-safe: owned by the event loop.
+ * caller can't mistake it for a complete one; a connection is idle only once its responses are written, and the time
+ * since then counts. Not thread-safe: owned by the event loop.
  */
 public final class CallerConnection extends ChannelInboundHandlerAdapter
         implements RequestDecoder.Receiver, MemoryOwner {
@@ -49,6 +49,10 @@
     // Time for the memory of callers that were refused or too slow to be freed.
     private static final int RETRY_AFTER_SECONDS = 1;
 
+    // The socket reports that a caller reads in steps of about a third of its send buffer of up to 4 MB, so that a
+    // caller who reads 30 KB/s or more is never taken for one who doesn't read.
+    private static final Duration UNREAD_TIMEOUT = Duration.ofSeconds(60);
+
     private static final ChannelFutureListener CHECK_MEMORY = write -> OutOfMemoryExit.check(write.cause());
 
     private final CallerServer server;
@@ -198,6 +202,7 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        lastActivityNanos = System.nanoTime();
         output.resume();
         if (channel.isWritable()) {
             current.ifPresent(server.listener()::callerWritable);
@@ -235,6 +240,12 @@
         if (idle.compareTo(limits.idleTimeout()) <= 0) {
             return;
         }
+        if (unwrittenResponses > 0) {
+            if (idle.compareTo(UNREAD_TIMEOUT) > 0) {
+                closeUnread("response-unread", memory.totalBytes());
+            }
+            return;
+        }
         if (incoming.isPresent()) {
             refuse("body-idle", HttpResponseStatus.REQUEST_TIMEOUT);
         } else {
@@ -263,7 +274,11 @@
 
     /** Closes the connection because its caller doesn't read the response. */
     void closeUnread(MemoryBound bound, long bytes) {
-        server.memoryGuard().recordRefusedCaller("unread-" + bound.key(), false, channel.remoteAddress(), bytes);
+        closeUnread("unread-" + bound.key(), bytes);
+    }
+
+    private void closeUnread(String reason, long bytes) {
+        server.memoryGuard().recordRefusedCaller(reason, false, channel.remoteAddress(), bytes);
         stopDecoding();
         channel.close();
     }
@@ -402,6 +417,7 @@
     }
 
     private void handleResponseWritten() {
+        lastActivityNanos = System.nanoTime();
         if (unwrittenResponses > 0) {
             unwrittenResponses--;
             server.responseWritten();
