Hold no entries that name no upstream

Cause: the mirror kept each entry of up to 256 KB for its peers, whether it could be decoded or not. It now keeps none that can't be decoded, in full reads as well as in watches, and none of an upstream above 16 KB (a sound one has about 400 bytes). The times of removed entries are dropped at once, and the keys that are logged once are bounded.

--- a/core/src/main/java/org/citrontide/core/gateway/MembershipView.java
+++ b/core/src/main/java/org/citrontide/core/gateway/MembershipView.java
@@ -143,6 +143,16 @@
         return dropped;
     }
 
+    /**
+     * Returns whether an upstream has an entry, which is not one that is kept only for the grace period.
+     *
+     * @param id identity of the upstream
+     * @return whether its entry was read and not removed since
+     */
+    public boolean isListed(String id) {
+        return current.containsKey(id);
+    }
+
     /**
      * Returns the upstreams considered available.
      *
--- a/gateway/src/main/java/org/citrontide/gateway/store/EntryTimes.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/EntryTimes.java
@@ -27,6 +27,11 @@
         return nowNanos;
     }
 
+    /** Discards the time of an item that was removed. */
+    void remove(String key) {
+        byKey.remove(key);
+    }
+
     /** Discards the times of all other keys. */
     void retain(Set<String> keys) {
         byKey.keySet().retainAll(keys);
--- a/gateway/src/main/java/org/citrontide/gateway/store/MirroredKeys.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/MirroredKeys.java
@@ -21,7 +21,9 @@
     private static final EventLog LOG = EventLog.of(MirroredKeys.class);
     private static final List<String> PREFIXES = List.of(
             UpstreamDecoder.KEY_PREFIX, GatewayRegistration.PREFIX, CrashEvidenceStore.PREFIX, GroupStore.PREFIX);
-    // An upstream's entry has about 400 bytes, the groups and the crash evidence of 200 upstreams some 60 KB.
+    // About 400 bytes; the rest is left for fields that are not known here.
+    private static final int MAX_UPSTREAM_BYTES = 16 * 1024;
+    // The groups and the crash evidence of 200 upstreams have some 60 KB.
     private static final int MAX_ENTRY_BYTES = 256 * 1024;
     // Bounds the memory of the keys that were logged.
     private static final int MAX_LOGGED_KEYS = 1000;
@@ -44,7 +46,8 @@
         if (PREFIXES.stream().noneMatch(i.key()::startsWith)) {
             return false;
         }
-        if (i.value().length <= MAX_ENTRY_BYTES) {
+        int maxBytes = i.key().startsWith(UpstreamDecoder.KEY_PREFIX) ? MAX_UPSTREAM_BYTES : MAX_ENTRY_BYTES;
+        if (i.value().length <= maxBytes) {
             return true;
         }
         if (loggedKeys.size() < MAX_LOGGED_KEYS && loggedKeys.add(i.key())) {
--- a/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
@@ -29,10 +29,10 @@
  * Mirrors the store: a single watch over all keys delivers the configuration and the list of upstreams.
  *
  * <p>Invariants: a version of the configuration is passed on only if it is higher than the previous one; an entry that
- * can't be decoded yields no upstream and doesn't affect the others; an unexpected failure of the listener ends neither
- * the handling of other changes nor the watch; a change that is made while the pages are read is seen by the watch that
- * follows; a watch whose response is too large is replaced by a read of all pages, each of which has a bounded size;
- * the copy of a peer replaces nothing that is newer. Not thread-safe: confined to the event loop.
+ * can't be decoded yields no upstream, doesn't affect the others and is not held; an unexpected failure of the listener
+ * ends neither the handling of other changes nor the watch; a change that is made while the pages are read is seen by
+ * the watch that follows; a watch whose response is too large is replaced by a read of all pages, each of which has a
+ * bounded size; the copy of a peer replaces nothing that is newer. Not thread-safe: confined to the event loop.
  */
 public final class StoreMirror implements StoreReader.Listener {
     private static final EventLog LOG = EventLog.of(StoreMirror.class);
@@ -40,7 +40,7 @@
     // A watch returns as soon as any key changes, and heartbeats change keys all the time: with a pause between the
     // calls, one response carries many changes. The rest of the limit is left for slow and repeated calls.
     private static final double WATCH_PAUSE_FRACTION = 0.375;
-    // With a longer pause, a single failed call would pass for an outage of the store.
+    // Bounds the time until a connection that fell silent is noticed.
     private static final Duration MAX_WATCH_PAUSE = Duration.ofMillis(1200);
     private static final Duration WATCH_WAIT = Duration.ofMillis(1000);
     // The copy is useful to a peer only if it is newer than what a failing store could have returned.
@@ -124,7 +124,7 @@
 
     private void readOrWatch() {
         if (revision.isEmpty() || isFullReadDue) {
-            readAll(new FullRead(keys));
+            readAll(new FullRead(keys, entries::isUsable));
         } else {
             watch(revision.get());
         }
@@ -192,7 +192,7 @@
                 .with("revision", page.revision())
                 .with("own-revision", revision.orElse(0L))
                 .write();
-        FullRead read = new FullRead(keys);
+        FullRead read = new FullRead(keys, entries::isUsable);
         read.add(page);
         handleFullRead(read, "peer", System.nanoTime() - age.toNanos());
         setRevision(page.revision());
@@ -223,6 +223,7 @@
                         }
                     }
                     entries.apply(news, System.nanoTime()).ifPresent(this::scheduleEndOf);
+                    copy.keySet().removeIf(key -> !entries.isMirrored(key));
                     if (hasChange(changes, EvacuationDecoder.KEY_PREFIX)) {
                         notifyListener("evacuations", () -> listener.evacuationsUpdated(evacuatedZones()));
                     }
--- a/gateway/src/main/java/org/citrontide/gateway/store/UpstreamEntries.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/UpstreamEntries.java
@@ -26,6 +26,8 @@
  */
 final class UpstreamEntries {
     private static final EventLog LOG = EventLog.of(UpstreamEntries.class);
+    // Bounds the memory of what was logged once.
+    private static final int MAX_LOGGED = 10_000;
 
     private final MembershipView membership = new MembershipView();
     private final HeartbeatCounter heartbeats = new HeartbeatCounter();
@@ -35,6 +37,16 @@
     /** A change of an entry; empty if it was removed or has become unusable. */
     private record EntryChange(String id, Optional<ListedUpstream> upstream) {}
 
+    /** Returns whether an item is no entry of an upstream, or one that can be decoded; logs one that can't, once. */
+    boolean isUsable(Item i) {
+        return !isEntry(i.key()) || decode(i).isPresent();
+    }
+
+    /** Returns whether a key is none of an upstream, or that of an entry that could be decoded. */
+    boolean isMirrored(String key) {
+        return !isEntry(key) || membership.isListed(key.substring(UpstreamDecoder.KEY_PREFIX.length()));
+    }
+
     /** Returns the upstreams considered available. */
     List<ListedUpstream> list() {
         return membership.upstreams();
@@ -110,6 +122,7 @@
         Optional<ListedUpstream> upstream = c.item().flatMap(this::decode);
         if (upstream.isEmpty()) {
             heartbeats.recordRemoval(id);
+            entryTimes.remove(c.key());
         }
         return new EntryChange(id, upstream);
     }
@@ -133,7 +146,7 @@
             heartbeats.recordEntry(e.upstream().id(), i.revision(), e.sequence());
             return Optional.of(e.upstream());
         } catch (DecodeException e) {
-            if (loggedOnce.add(i.key())) {
+            if (loggedOnce.size() < MAX_LOGGED && loggedOnce.add(i.key())) {
                 LOG.warn("upstream-entry-unusable")
                         .with("key", i.key())
                         .with("why", e.getMessage())
--- a/gateway/src/test/java/org/citrontide/gateway/store/StoreMirrorTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/store/StoreMirrorTest.java
@@ -31,6 +31,7 @@
     private static final String ENTRY = "{\"service\":\"svc\",\"address\":\"127.0.0.1:8080\",\"zone\":\"z1\","
             + "\"version\":\"v1\",\"slots\":4,\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":1}";
     private static final long AWAIT_SECONDS = 20;
+    private static final int MAX_PAGE_BYTES = 20_000;
 
     private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private FakePlatformStore store;
@@ -104,6 +105,38 @@
         await("the new version is known", () -> listener.versions.contains(2L));
     }
 
+    /** Guards against entries of another writer that take the memory of this gateway and of its peers. */
+    @Test
+    void holdsNoEntryThatNamesNoUpstream() {
+        FailingListener listener = new FailingListener();
+        store.put("op/config", configuration(1));
+        store.setPages(4, () -> {});
+        putUnusableEntries("first");
+        store.put("servers/a", ENTRY);
+        StoreMirror mirror = startMirror(listener);
+        await("the first upstream is known", () -> listener.latest.contains("a"));
+        assertTrue(pageLength(mirror) < MAX_PAGE_BYTES, "after a read of all pages");
+        putUnusableEntries("second");
+        store.put("servers/b", ENTRY);
+        await("the second upstream is known", () -> listener.latest.contains("b"));
+        assertTrue(pageLength(mirror) < MAX_PAGE_BYTES, "after a watch");
+        store.put("servers/first0", ENTRY);
+        await("an entry that can be used again is known", () -> listener.latest.contains("first0"));
+    }
+
+    private void putUnusableEntries(String name) {
+        for (int i = 0; i < 10; i++) {
+            store.put("servers/" + name + i, "x".repeat(10_000));
+            store.put(
+                    "servers/large" + name + i,
+                    ENTRY.replace("\"v1\"", "\"v1\",\"other\":\"" + "x".repeat(200_000) + '"'));
+        }
+    }
+
+    private int pageLength(StoreMirror mirror) {
+        return loops.next().submit(mirror::page).syncUninterruptibly().getNow().orElseThrow().length;
+    }
+
     @Test
     void pauseBetweenWatchesLeavesMostOfTheLimitAndIsNoOutage() {
         assertEquals(Duration.ofMillis(750), StoreMirror.watchPause(Duration.ofSeconds(2)));
@@ -111,7 +144,7 @@
         assertEquals(Duration.ofMillis(1200), StoreMirror.watchPause(Duration.ofSeconds(4)));
     }
 
-    private void startMirror(StoreListener listener) {
+    private StoreMirror startMirror(StoreListener listener) {
         EventLoop loop = loops.next();
         InetSocketAddress address = new InetSocketAddress("127.0.0.1", store.port());
         StoreMirror mirror = new StoreMirror(
@@ -123,6 +156,7 @@
                 new SplittableRandom(1),
                 listener);
         loop.execute(mirror::start);
+        return mirror;
     }
 
     private static String configuration(int version) {
