Close idle connections of control calls after 30 s

An engine or gateway that ends without notice leaves the connections of calls to it open for ever, one or two descriptors each; nothing closed an idle one but its server.

Measured (aarch64): PlatformClientTest.anIdleConnectionIsClosedAfterItsLimit failed with the check switched off (still open after 5 s), passes with it.

--- a/gateway/src/main/java/org/citrontide/gateway/store/PlatformClient.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/PlatformClient.java
@@ -39,6 +39,7 @@
 import org.citrontide.gateway.http.ResponseDecoder;
 import org.citrontide.gateway.http.UnexpectedBytes;
 import org.citrontide.platform.PlatformCall;
+import org.citrontide.runtime.eventloop.GuardedTask;
 import org.citrontide.runtime.eventloop.OutOfMemoryExit;
 import org.citrontide.runtime.log.EventLog;
 
@@ -63,22 +64,29 @@
     // The longest response is the counts of all experts: 60 sets of 384 numbers of up to ten digits have 250 KB.
     private static final int MAX_ENGINE_RESPONSE_BYTES = 512 * 1024;
 
+    // Longer than the interval between two renewals of a gateway's registration, the rarest periodic call.
+    private static final Duration IDLE_LIMIT = Duration.ofSeconds(30);
+
     private final EventLoop loop;
     private final int maxResponseBytes;
     private final boolean isAlwaysAnswered;
+    private final Duration idleLimit;
     private final Map<InetSocketAddress, Deque<Connection>> idleConnections = new HashMap<>();
     private long callCount;
+    private boolean isIdleCheckScheduled;
 
     /**
      * Creates a client.
      *
      * @param isAlwaysAnswered whether a call without a response shows that connections have fallen silent; engines
      *     leave orders unanswered on connections that work
+     * @param idleLimit time after which an idle connection is closed, also one that its server dropped without notice
      */
-    private PlatformClient(EventLoop loop, int maxResponseBytes, boolean isAlwaysAnswered) {
+    PlatformClient(EventLoop loop, int maxResponseBytes, boolean isAlwaysAnswered, Duration idleLimit) {
         this.loop = loop;
         this.maxResponseBytes = maxResponseBytes;
         this.isAlwaysAnswered = isAlwaysAnswered;
+        this.idleLimit = idleLimit;
     }
 
     /**
@@ -88,7 +96,7 @@
      * @return the client
      */
     public static PlatformClient forStore(EventLoop loop) {
-        return new PlatformClient(loop, MAX_STORE_RESPONSE_BYTES, true);
+        return new PlatformClient(loop, MAX_STORE_RESPONSE_BYTES, true, IDLE_LIMIT);
     }
 
     /**
@@ -98,7 +106,7 @@
      * @return the client
      */
     public static PlatformClient forEngines(EventLoop loop) {
-        return new PlatformClient(loop, MAX_ENGINE_RESPONSE_BYTES, false);
+        return new PlatformClient(loop, MAX_ENGINE_RESPONSE_BYTES, false, IDLE_LIMIT);
     }
 
     /**
@@ -195,6 +203,36 @@
         response.whenComplete((r, f) -> timer.cancel(false));
     }
 
+    private void addIdle(Connection c) {
+        idleConnections.computeIfAbsent(c.address, a -> new ArrayDeque<>()).addFirst(c);
+        scheduleIdleCheck();
+    }
+
+    private void scheduleIdleCheck() {
+        if (!isIdleCheckScheduled) {
+            isIdleCheckScheduled = true;
+            GuardedTask check = new GuardedTask("platform-connection-expiry", this::closeExpired);
+            loop.schedule(check, idleLimit.toMillis(), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void closeExpired() {
+        isIdleCheckScheduled = false;
+        long limitNanos = System.nanoTime() - idleLimit.toNanos();
+        List<Connection> expired = idleConnections.values().stream()
+                .flatMap(Deque::stream)
+                .filter(c -> c.respondedNanos - limitNanos <= 0)
+                .toList();
+        for (Connection c : expired) {
+            idleConnections.get(c.address).remove(c);
+            c.channel.close();
+        }
+        idleConnections.values().removeIf(Deque::isEmpty);
+        if (!idleConnections.isEmpty()) {
+            scheduleIdleCheck();
+        }
+    }
+
     /** Closes the idle connections to an address on which nothing was received since the given time. */
     private void closeSilentConnections(InetSocketAddress address, long sinceNanos) {
         List<Connection> silent = idleConnections.getOrDefault(address, new ArrayDeque<>()).stream()
@@ -297,9 +335,7 @@
             pendingResponse = null;
             respondedNanos = System.nanoTime();
             if (HttpUtil.isKeepAlive(r)) {
-                idleConnections
-                        .computeIfAbsent(address, a -> new ArrayDeque<>())
-                        .addFirst(this);
+                addIdle(this);
             } else {
                 channel.close();
             }
--- a/gateway/src/test/java/org/citrontide/gateway/store/PlatformClientTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/store/PlatformClientTest.java
@@ -100,6 +100,26 @@
         }
     }
 
+    // Guards against descriptors that are lost to engines that are gone without notice.
+    @Test
+    void anIdleConnectionIsClosedAfterItsLimit() throws Exception {
+        MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        try (FakeHttpUpstream engine = new FakeHttpUpstream("a", (r, reply) -> writeStatus(reply, "200 OK"))) {
+            EventLoop loop = loops.next();
+            PlatformClient client = new PlatformClient(loop, 1000, false, Duration.ofMillis(200));
+            PlatformCall call = new PlatformCall("GET", "/", new byte[0]);
+            assertEquals(200, status(loop, () -> client.call(address(engine), call, TIMEOUT)));
+            long deadline = System.nanoTime() + TIMEOUT.toNanos();
+            while (engine.openConnections() > 0) {
+                assertTrue(System.nanoTime() < deadline, "the connection is still open");
+                TimeUnit.MILLISECONDS.sleep(5);
+            }
+            assertEquals(200, status(loop, () -> client.call(address(engine), call, TIMEOUT)));
+        } finally {
+            loops.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+        }
+    }
+
     // Guards against documents of the platform that are cut off by a reset and taken for complete.
     @Test
     void responseWithoutLengthIsCompleteOnlyIfItsConnectionIsNotReset() throws Exception {
