Test the outage decision without a shortcut that only tests used

MembershipView.recordStoreServed without heartbeats had no caller but its test, which now says that nothing is known of them. The two cases of SlowReaderTest share their beginning. No check changed.

--- a/core/src/main/java/org/citrontide/core/gateway/MembershipView.java
+++ b/core/src/main/java/org/citrontide/core/gateway/MembershipView.java
@@ -51,16 +51,6 @@
         outageDetector.recordFailedCall();
     }
 
-    /**
-     * Records that the store has served this gateway or a peer, if nothing is known of heartbeats.
-     *
-     * @param nowNanos monotonic time in ns
-     * @return the grace period that begins, if there was an outage in which entries may have expired
-     */
-    public Optional<GracePeriod> recordStoreServed(long nowNanos) {
-        return recordStoreServed(Heartbeats.UNKNOWN, nowNanos);
-    }
-
     /**
      * Records that the store has served this gateway or a peer. To be called before the changes of the same read.
      *
--- a/core/src/test/java/org/citrontide/core/gateway/MembershipViewTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/MembershipViewTest.java
@@ -29,9 +29,9 @@
     void anEntryThatExpiredDuringAStoreOutageIsKeptForAGracePeriod() {
         view.putEntry(upstream("a", false));
         view.putEntry(upstream("b", false));
-        view.recordStoreServed(5 * SECOND);
+        view.recordStoreServed(Heartbeats.UNKNOWN, 5 * SECOND);
         view.recordStoreFailure();
-        view.recordStoreServed(10 * SECOND);
+        view.recordStoreServed(Heartbeats.UNKNOWN, 10 * SECOND);
         view.replaceAll(List.of(), 10 * SECOND);
         assertEquals(2, view.upstreams().size());
         view.putEntry(upstream("a", false));
@@ -43,9 +43,9 @@
     @Test
     void anEntryRemovedAfterAShortInterruptionIsDroppedImmediately() {
         view.putEntry(upstream("a", false));
-        view.recordStoreServed(8 * SECOND);
+        view.recordStoreServed(Heartbeats.UNKNOWN, 8 * SECOND);
         view.recordStoreFailure();
-        view.recordStoreServed(10 * SECOND - 1);
+        view.recordStoreServed(Heartbeats.UNKNOWN, 10 * SECOND - 1);
         view.removeEntry("a", 10 * SECOND);
         assertEquals(List.of(), view.upstreams());
     }
@@ -53,8 +53,8 @@
     @Test
     void aLongPauseBetweenCallsIsNoOutage() {
         view.putEntry(upstream("a", false));
-        view.recordStoreServed(5 * SECOND);
-        view.recordStoreServed(10 * SECOND);
+        view.recordStoreServed(Heartbeats.UNKNOWN, 5 * SECOND);
+        view.recordStoreServed(Heartbeats.UNKNOWN, 10 * SECOND);
         view.removeEntry("a", 10 * SECOND);
         assertEquals(List.of(), view.upstreams());
     }
@@ -62,9 +62,9 @@
     @Test
     void aDrainingUpstreamIsNotKept() {
         view.putEntry(upstream("a", true));
-        view.recordStoreServed(5 * SECOND);
+        view.recordStoreServed(Heartbeats.UNKNOWN, 5 * SECOND);
         view.recordStoreFailure();
-        view.recordStoreServed(10 * SECOND);
+        view.recordStoreServed(Heartbeats.UNKNOWN, 10 * SECOND);
         view.removeEntry("a", 10 * SECOND);
         assertEquals(List.of(), view.upstreams());
     }
@@ -74,7 +74,7 @@
     void anEntryWrittenSinceAnOutageIsDroppedImmediately() {
         view.putEntry(upstream("a", false));
         view.putEntry(upstream("b", false));
-        view.recordStoreServed(5 * SECOND);
+        view.recordStoreServed(Heartbeats.UNKNOWN, 5 * SECOND);
         view.recordStoreFailure();
         view.recordStoreServed(new Heartbeats(Map.of(), Set.of("b")), 10 * SECOND);
         view.recordStoreServed(new Heartbeats(Map.of(), Set.of("a")), 11 * SECOND);
@@ -87,9 +87,11 @@
     @Test
     void theGracePeriodEndsAtTheTimeThatItsBeginNames() {
         view.putEntry(upstream("a", false));
-        view.recordStoreServed(5 * SECOND);
+        view.recordStoreServed(Heartbeats.UNKNOWN, 5 * SECOND);
         view.recordStoreFailure();
-        long end = view.recordStoreServed(10 * SECOND).orElseThrow().endNanos();
+        long end = view.recordStoreServed(Heartbeats.UNKNOWN, 10 * SECOND)
+                .orElseThrow()
+                .endNanos();
         assertEquals(10 * SECOND + 2_200_000_000L, end);
         assertTrue(view.removeEntry("a", 10 * SECOND));
         assertEquals(Set.of(), view.expire(end - 1));
--- a/gateway/src/test/java/org/citrontide/gateway/SlowReaderTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/SlowReaderTest.java
@@ -18,10 +18,7 @@
     // Guards against a booking that ran and whose response is cut off while its caller reads it.
     @Test
     void aResponseIsDeliveredWholeToACallerWhoPausesLongerThanTheIdleTimeout() throws IOException {
-        addUpstreamWithLargeResponses();
-        try (RawCaller caller = RawCaller.withSmallReceiveBuffer(callerPort)) {
-            caller.sendRequest("POST", "/book/", "id-1", "x");
-            pause(PAUSE_MS);
+        try (RawCaller caller = sendAndPause()) {
             RawCaller.Response response = caller.readResponse();
             assertEquals(200, response.status());
             assertTrue(
@@ -33,15 +30,21 @@
     // Guards against connections that are kept after the idle timeout because a slow response came before.
     @Test
     void theConnectionIsClosedAsIdleAfterTheResponse() throws IOException {
-        addUpstreamWithLargeResponses();
-        try (RawCaller caller = RawCaller.withSmallReceiveBuffer(callerPort)) {
-            caller.sendRequest("POST", "/book/", "id-1", "x");
-            pause(PAUSE_MS);
+        try (RawCaller caller = sendAndPause()) {
             assertTrue(caller.readResponse().isComplete());
             assertEquals("", caller.readToEnd());
         }
     }
 
+    /** Sends a request whose response exceeds the sockets, and leaves the response unread for a while. */
+    private RawCaller sendAndPause() throws IOException {
+        addUpstreamWithLargeResponses();
+        RawCaller caller = RawCaller.withSmallReceiveBuffer(callerPort);
+        caller.sendRequest("POST", "/book/", "id-1", "x");
+        pause(PAUSE_MS);
+        return caller;
+    }
+
     private void addUpstreamWithLargeResponses() throws IOException {
         String body = "x".repeat(BODY_BYTES);
         addUpstream("a", (request, reply) -> reply.writeResponse("200 OK", body));
