Move the idle connections of control calls into a class of their own

IdleConnections keeps them by address, closes those that fell silent together, and those that stay idle. No change of behaviour, but that silent ones are closed rather than reset: nothing on them is unsent.

--- a/gateway/src/main/java/org/citrontide/gateway/store/PlatformClient.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/PlatformClient.java
@@ -3,11 +3,8 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -39,7 +36,6 @@
 import org.citrontide.gateway.http.ResponseDecoder;
 import org.citrontide.gateway.http.UnexpectedBytes;
 import org.citrontide.platform.PlatformCall;
-import org.citrontide.runtime.eventloop.GuardedTask;
 import org.citrontide.runtime.eventloop.OutOfMemoryExit;
 import org.citrontide.runtime.log.EventLog;
 
@@ -63,17 +59,14 @@
     private static final int MAX_STORE_RESPONSE_BYTES = 4 * 1024 * 1024;
     // The longest response is the counts of all experts: 60 sets of 384 numbers of up to ten digits have 250 KB.
     private static final int MAX_ENGINE_RESPONSE_BYTES = 512 * 1024;
-
     // Longer than the interval between two renewals of a gateway's registration, the rarest periodic call.
     private static final Duration IDLE_LIMIT = Duration.ofSeconds(30);
 
     private final EventLoop loop;
     private final int maxResponseBytes;
     private final boolean isAlwaysAnswered;
-    private final Duration idleLimit;
-    private final Map<InetSocketAddress, Deque<Connection>> idleConnections = new HashMap<>();
+    private final IdleConnections<Connection> idleConnections;
     private long callCount;
-    private boolean isIdleCheckScheduled;
 
     /**
      * Creates a client.
@@ -86,7 +79,7 @@
         this.loop = loop;
         this.maxResponseBytes = maxResponseBytes;
         this.isAlwaysAnswered = isAlwaysAnswered;
-        this.idleLimit = idleLimit;
+        this.idleConnections = new IdleConnections<>(loop, idleLimit);
     }
 
     /**
@@ -122,16 +115,16 @@
     public CompletableFuture<PlatformResponse> call(InetSocketAddress address, PlatformCall call, Duration timeout) {
         callCount++;
         CompletableFuture<PlatformResponse> response = new CompletableFuture<>();
-        Deque<Connection> connections = idleConnections.getOrDefault(address, new ArrayDeque<>());
-        while (!connections.isEmpty()) {
-            Connection c = connections.removeFirst();
-            if (c.isReusable()) {
-                c.send(call, response);
-                scheduleTimeout(timeout, response, c);
-                return response;
-            }
+        Optional<Connection> idle = idleConnections.poll(address);
+        while (idle.isPresent() && !idle.get().isReusable()) {
+            idle = idleConnections.poll(address);
         }
-        connect(address, call, timeout, response);
+        if (idle.isEmpty()) {
+            connect(address, call, timeout, response);
+            return response;
+        }
+        idle.get().send(call, response);
+        scheduleTimeout(timeout, response, idle.get());
         return response;
     }
 
@@ -203,54 +196,8 @@
         response.whenComplete((r, f) -> timer.cancel(false));
     }
 
-    private void addIdle(Connection c) {
-        idleConnections.computeIfAbsent(c.address, a -> new ArrayDeque<>()).addFirst(c);
-        scheduleIdleCheck();
-    }
-
-    private void scheduleIdleCheck() {
-        if (!isIdleCheckScheduled) {
-            isIdleCheckScheduled = true;
-            GuardedTask check = new GuardedTask("platform-connection-expiry", this::closeExpired);
-            loop.schedule(check, idleLimit.toMillis(), TimeUnit.MILLISECONDS);
-        }
-    }
-
-    private void closeExpired() {
-        isIdleCheckScheduled = false;
-        long limitNanos = System.nanoTime() - idleLimit.toNanos();
-        List<Connection> expired = idleConnections.values().stream()
-                .flatMap(Deque::stream)
-                .filter(c -> c.respondedNanos - limitNanos <= 0)
-                .toList();
-        for (Connection c : expired) {
-            idleConnections.get(c.address).remove(c);
-            c.channel.close();
-        }
-        idleConnections.values().removeIf(Deque::isEmpty);
-        if (!idleConnections.isEmpty()) {
-            scheduleIdleCheck();
-        }
-    }
-
-    /** Closes the idle connections to an address on which nothing was received since the given time. */
-    private void closeSilentConnections(InetSocketAddress address, long sinceNanos) {
-        List<Connection> silent = idleConnections.getOrDefault(address, new ArrayDeque<>()).stream()
-                .filter(c -> c.respondedNanos - sinceNanos < 0)
-                .toList();
-        if (silent.isEmpty()) {
-            return;
-        }
-        LOG.info("platform-connections-closed")
-                .with("address", address)
-                .with("why", "silent")
-                .with("count", silent.size())
-                .write();
-        silent.forEach(Connection::reset);
-    }
-
     /** A connection that carries one call at a time. */
-    private final class Connection extends SimpleChannelInboundHandler<Object> {
+    private final class Connection extends SimpleChannelInboundHandler<Object> implements IdleConnections.Connection {
         private final InetSocketAddress address;
         private final ResponseDecoder decoder;
         private ProbedSocketChannel channel;
@@ -263,6 +210,21 @@
             this.decoder = decoder;
         }
 
+        @Override
+        public InetSocketAddress address() {
+            return address;
+        }
+
+        @Override
+        public long respondedNanos() {
+            return respondedNanos;
+        }
+
+        @Override
+        public void close() {
+            channel.close();
+        }
+
         /** Returns whether a call may be sent; closes the connection if anything arrived since the last response. */
         private boolean isReusable() {
             if (!channel.isActive()) {
@@ -335,7 +297,7 @@
             pendingResponse = null;
             respondedNanos = System.nanoTime();
             if (HttpUtil.isKeepAlive(r)) {
-                addIdle(this);
+                idleConnections.add(this);
             } else {
                 channel.close();
             }
@@ -358,7 +320,7 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            idleConnections.getOrDefault(address, new ArrayDeque<>()).remove(this);
+            idleConnections.remove(this);
             failUnanswered(pendingResponse, "connection closed");
         }
 
@@ -389,11 +351,23 @@
             }
             reset();
             if (isAlwaysAnswered) {
-                closeSilentConnections(address, sentNanos);
+                closeSilentConnections();
             }
             failUnanswered(response, "no response within the timeout");
         }
 
+        /** Closes the idle connections to the same address that may have fallen silent together with this one. */
+        private void closeSilentConnections() {
+            int closed = idleConnections.closeSilent(address, sentNanos);
+            if (closed > 0) {
+                LOG.info("platform-connections-closed")
+                        .with("address", address)
+                        .with("why", "silent")
+                        .with("count", closed)
+                        .write();
+            }
+        }
+
         /** Closes the connection without sending the rest, so that a call can't arrive after it was given up. */
         private void reset() {
             if (channel.isOpen()) {
