Read the store as the grace period ends, and drop kept upstreams by that read

What callers saw: after an outage in which entries expired, and a second one within the grace period, a gateway dropped all upstreams in the second one and refused every request.

Kept upstreams are dropped by a read again; its watch and pause now end with the grace period, so it is not late.

--- a/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
@@ -59,6 +60,7 @@
     private final Duration watchPause;
     private Optional<Long> revision = Optional.empty();
     private boolean isFullReadDue;
+    private OptionalLong graceEndNanos = OptionalLong.empty();
     // Remains while a new full read is needed, so that the older copy of a peer replaces nothing.
     private long newestRevision;
     private long version;
@@ -145,7 +147,7 @@
                     .with("revision", read.revision())
                     .with("upstreams", entries.list().size())
                     .write();
-            schedule(watchPause);
+            scheduleNextRead();
         });
     }
 
@@ -202,7 +204,8 @@
         copy.clear();
         read.items().forEach(i -> copy.put(i.key(), i));
         Optional.ofNullable(copy.get(ConfigurationDecoder.KEY)).ifPresent(this::handleConfiguration);
-        entries.replaceAll(read.items(), servedBy, servedNanos).ifPresent(this::scheduleEndOf);
+        entries.replaceAll(read.items(), servedBy, servedNanos).ifPresent(this::setGracePeriod);
+        expireEntries();
         notifyListener("evacuations", () -> listener.evacuationsUpdated(evacuatedZones()));
         notifyListener("gateways", () -> listener.gatewaysUpdated(gateways()));
         notifyListener("crash-evidence", () -> listener.crashEvidenceUpdated(copies(CrashEvidenceStore.PREFIX)));
@@ -213,7 +216,7 @@
 
     private void watch(long after) {
         reader.read(
-                MetadataStore.watch(ALL_KEYS, after, reader.isAvailable() ? WATCH_WAIT : Duration.ZERO),
+                MetadataStore.watch(ALL_KEYS, after, watchWait()),
                 body -> {
                     MetadataStore.Changes changes = MetadataStore.decodeChanges(body);
                     List<Change> news = new ArrayList<>();
@@ -222,7 +225,7 @@
                             news.add(handleChange(c));
                         }
                     }
-                    entries.apply(news, System.nanoTime()).ifPresent(this::scheduleEndOf);
+                    entries.apply(news, System.nanoTime()).ifPresent(this::setGracePeriod);
                     copy.keySet().removeIf(key -> !entries.isMirrored(key));
                     if (hasChange(changes, EvacuationDecoder.KEY_PREFIX)) {
                         notifyListener("evacuations", () -> listener.evacuationsUpdated(evacuatedZones()));
@@ -235,12 +238,12 @@
                     if (hasChange(changes, GroupStore.PREFIX)) {
                         notifyListener("groups", () -> listener.groupsUpdated(copies(GroupStore.PREFIX)));
                     }
-                    boolean hasExpired = entries.expire();
+                    boolean hasExpired = expireEntries();
                     if (hasExpired || !changes.changes().isEmpty()) {
                         notifyListener("upstreams", () -> listener.upstreamsUpdated(entries.list()));
                     }
                     setRevision(Math.max(revision.orElse(after), changes.revision()));
-                    schedule(watchPause);
+                    scheduleNextRead();
                 },
                 this::handleWatchTooLarge);
     }
@@ -279,14 +282,35 @@
         return new Change(c.key(), item, c.revision());
     }
 
-    private void scheduleEndOf(MembershipView.GracePeriod grace) {
-        loop.schedule(this::endGracePeriod, grace.endNanos() - System.nanoTime(), TimeUnit.NANOSECONDS);
+    private void setGracePeriod(MembershipView.GracePeriod grace) {
+        graceEndNanos = OptionalLong.of(grace.endNanos());
     }
 
-    private void endGracePeriod() {
-        if (entries.expire()) {
-            notifyListener("upstreams", () -> listener.upstreamsUpdated(entries.list()));
+    /** Drops the entries that were kept, if the grace period has ended; returns whether there were any. */
+    private boolean expireEntries() {
+        if (graceEndNanos.isPresent() && remainingGrace().isZero()) {
+            graceEndNanos = OptionalLong.empty();
         }
+        return entries.expire();
+    }
+
+    /** Returns the time until the end of the grace period, or the given time if that is shorter. */
+    private Duration atMostRemainingGrace(Duration time) {
+        return graceEndNanos.isPresent() && remainingGrace().compareTo(time) < 0 ? remainingGrace() : time;
+    }
+
+    private Duration remainingGrace() {
+        return Duration.ofNanos(Math.max(0, graceEndNanos.orElseThrow() - System.nanoTime()));
+    }
+
+    /** Returns how long the store may wait for a change, so that a response arrives as the grace period ends. */
+    private Duration watchWait() {
+        return reader.isAvailable() ? atMostRemainingGrace(WATCH_WAIT) : Duration.ZERO;
+    }
+
+    /** Schedules the next read after a successful one; the first one after a grace period follows as that ends. */
+    private void scheduleNextRead() {
+        schedule(atMostRemainingGrace(watchPause));
     }
 
     private List<String> gateways() {
--- a/gateway/src/main/java/org/citrontide/gateway/store/UpstreamEntries.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/UpstreamEntries.java
@@ -76,7 +76,6 @@
         heartbeats.retain(upstreams.stream().map(ListedUpstream::id).collect(Collectors.toSet()));
         Optional<GracePeriod> grace = recordServed(heartbeats.take(), servedBy, servedNanos);
         membership.replaceAll(upstreams, System.nanoTime()).forEach(UpstreamEntries::logRemoved);
-        expire();
         return grace;
     }
 
