Count an unchanged copy of a peer as service of the store

What callers see: while the store turns a gateway away, or its path to the store is cut, an upstream that is removed still gets requests, for as long as nothing else changes in the store.

Cause: the copy of a peer was ignored unless its revision was higher. An unchanged copy now counts as service at the time at which the peer was served. Proof of service from before a failed call doesn't clear that call any more, or such copies would hide an outage; and what a copy shows is judged by the time at which it was read, as is the end of the grace period.

Evidence (aarch64): the log of the failing test has removed-entries-kept unserved-ms=3283 served=peer while the peer was served all the time.

--- a/core/src/main/java/org/citrontide/core/gateway/MembershipView.java
+++ b/core/src/main/java/org/citrontide/core/gateway/MembershipView.java
@@ -41,14 +41,22 @@
      */
     public record GracePeriod(Duration unserved, long endNanos) {}
 
-    /** Records that a call to the store got no answer, on a connection that may have fallen silent. */
-    public void recordUnansweredCall() {
-        outageDetector.recordUnansweredCall();
+    /**
+     * Records that a call to the store got no answer, on a connection that may have fallen silent.
+     *
+     * @param nowNanos monotonic time in ns
+     */
+    public void recordUnansweredCall(long nowNanos) {
+        outageDetector.recordUnansweredCall(nowNanos);
     }
 
-    /** Records that the store refused a call, or that it could not be reached on a new connection. */
-    public void recordStoreFailure() {
-        outageDetector.recordFailedCall();
+    /**
+     * Records that the store refused a call, or that it could not be reached on a new connection.
+     *
+     * @param nowNanos monotonic time in ns
+     */
+    public void recordStoreFailure(long nowNanos) {
+        outageDetector.recordFailedCall(nowNanos);
     }
 
     /**
@@ -76,7 +84,7 @@
      * Replaces all entries.
      *
      * @param upstreams all usable entries
-     * @param nowNanos monotonic time in ns
+     * @param nowNanos monotonic time in ns at which the store served them
      * @return whether each removed entry is kept, by its identity
      */
     public Map<String, Boolean> replaceAll(List<ListedUpstream> upstreams, long nowNanos) {
@@ -106,7 +114,7 @@
      * Removes an entry that was deleted or has become unusable; during the grace period it is kept as expired.
      *
      * @param id identity of the upstream
-     * @param nowNanos monotonic time in ns
+     * @param nowNanos monotonic time in ns at which the store served the removal
      * @return whether the entry is kept
      */
     public boolean removeEntry(String id, long nowNanos) {
@@ -119,9 +127,9 @@
     }
 
     /**
-     * Drops the expired entries once the grace period has ended.
+     * Drops the expired entries once the store has served after the end of the grace period.
      *
-     * @param nowNanos monotonic time in ns
+     * @param nowNanos monotonic time in ns at which the store served last
      * @return identities of the upstreams that are no longer listed
      */
     public Set<String> expire(long nowNanos) {
--- a/core/src/main/java/org/citrontide/core/outage/StoreOutageDetector.java
+++ b/core/src/main/java/org/citrontide/core/outage/StoreOutageDetector.java
@@ -14,7 +14,8 @@
  * connect, is taken as an outage.
  *
  * <p>Invariants: no outage without a call that got no answer or failed; none shorter than two heartbeats; proof of an
- * earlier service than a known one changes nothing. Not thread-safe; times are passed in.
+ * earlier service than a known one changes nothing, and proof of one before a call that failed doesn't explain that
+ * call. Not thread-safe; times are passed in.
  */
 public final class StoreOutageDetector {
     // Entries outlast an interruption of two heartbeats of their upstreams, about 1.2 s each.
@@ -34,18 +35,29 @@
     }
 
     private Evidence evidence = Evidence.NONE;
+    private long evidenceNanos;
     private OptionalLong servedNanos = OptionalLong.empty();
     private double observedHeartbeats;
     private double observedSeconds;
 
-    /** Records that a call got no answer, on a connection that may have fallen silent. */
-    public void recordUnansweredCall() {
+    /**
+     * Records that a call got no answer, on a connection that may have fallen silent.
+     *
+     * @param nowNanos monotonic time in ns
+     */
+    public void recordUnansweredCall(long nowNanos) {
         evidence = evidence == Evidence.NONE ? Evidence.UNANSWERED_CALL : evidence;
+        evidenceNanos = nowNanos;
     }
 
-    /** Records that the store refused a call, or that it could not be reached on a new connection. */
-    public void recordFailedCall() {
+    /**
+     * Records that the store refused a call, or that it could not be reached on a new connection.
+     *
+     * @param nowNanos monotonic time in ns
+     */
+    public void recordFailedCall(long nowNanos) {
         evidence = Evidence.FAILED_CALL;
+        evidenceNanos = nowNanos;
     }
 
     /**
@@ -62,7 +74,9 @@
         }
         Duration unserved = Duration.ofNanos(nowNanos - previousNanos);
         boolean isOutage = unserved.compareTo(MIN_OUTAGE) >= 0 && wasAway(heartbeats, unserved);
-        evidence = Evidence.NONE;
+        if (nowNanos - evidenceNanos >= 0) {
+            evidence = Evidence.NONE;
+        }
         servedNanos = OptionalLong.of(nowNanos);
         if (isOutage) {
             return Optional.of(unserved);
--- a/core/src/test/java/org/citrontide/core/gateway/MembershipViewTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/MembershipViewTest.java
@@ -30,7 +30,7 @@
         view.putEntry(upstream("a", false));
         view.putEntry(upstream("b", false));
         view.recordStoreServed(Heartbeats.UNKNOWN, 5 * SECOND);
-        view.recordStoreFailure();
+        view.recordStoreFailure(7 * SECOND);
         view.recordStoreServed(Heartbeats.UNKNOWN, 10 * SECOND);
         view.replaceAll(List.of(), 10 * SECOND);
         assertEquals(2, view.upstreams().size());
@@ -44,7 +44,7 @@
     void anEntryRemovedAfterAShortInterruptionIsDroppedImmediately() {
         view.putEntry(upstream("a", false));
         view.recordStoreServed(Heartbeats.UNKNOWN, 8 * SECOND);
-        view.recordStoreFailure();
+        view.recordStoreFailure(7 * SECOND);
         view.recordStoreServed(Heartbeats.UNKNOWN, 10 * SECOND - 1);
         view.removeEntry("a", 10 * SECOND);
         assertEquals(List.of(), view.upstreams());
@@ -63,7 +63,7 @@
     void aDrainingUpstreamIsNotKept() {
         view.putEntry(upstream("a", true));
         view.recordStoreServed(Heartbeats.UNKNOWN, 5 * SECOND);
-        view.recordStoreFailure();
+        view.recordStoreFailure(7 * SECOND);
         view.recordStoreServed(Heartbeats.UNKNOWN, 10 * SECOND);
         view.removeEntry("a", 10 * SECOND);
         assertEquals(List.of(), view.upstreams());
@@ -75,7 +75,7 @@
         view.putEntry(upstream("a", false));
         view.putEntry(upstream("b", false));
         view.recordStoreServed(Heartbeats.UNKNOWN, 5 * SECOND);
-        view.recordStoreFailure();
+        view.recordStoreFailure(7 * SECOND);
         view.recordStoreServed(new Heartbeats(Map.of(), Set.of("b")), 10 * SECOND);
         view.recordStoreServed(new Heartbeats(Map.of(), Set.of("a")), 11 * SECOND);
         assertFalse(view.removeEntry("a", 11 * SECOND));
@@ -88,7 +88,7 @@
     void theGracePeriodEndsAtTheTimeThatItsBeginNames() {
         view.putEntry(upstream("a", false));
         view.recordStoreServed(Heartbeats.UNKNOWN, 5 * SECOND);
-        view.recordStoreFailure();
+        view.recordStoreFailure(7 * SECOND);
         long end = view.recordStoreServed(Heartbeats.UNKNOWN, 10 * SECOND)
                 .orElseThrow()
                 .endNanos();
--- a/core/src/test/java/org/citrontide/core/outage/StoreOutageDetectorTest.java
+++ b/core/src/test/java/org/citrontide/core/outage/StoreOutageDetectorTest.java
@@ -28,7 +28,7 @@
             for (int seed = 0; seed < SEEDS; seed++) {
                 Play play = new Play(upstreams, seed);
                 play.readUntilStart();
-                play.detector.recordUnansweredCall();
+                play.detector.recordUnansweredCall(nanos(play.now));
                 assertEquals(Optional.empty(), play.readAfter(2.55 + seed % 10 * 0.1), "seed " + seed);
             }
         }
@@ -42,7 +42,7 @@
                 Play play = new Play(upstreams, seed);
                 play.readUntilStart();
                 play.storeAwayFor(2.6);
-                play.detector.recordUnansweredCall();
+                play.detector.recordUnansweredCall(nanos(play.now));
                 assertTrue(play.readAfter(2.6).isPresent(), "seed " + seed);
             }
         }
@@ -57,7 +57,7 @@
                 play.readUntilStart();
                 play.readAfter(READ_SECONDS);
                 play.storeAwayFor(4);
-                play.detector.recordFailedCall();
+                play.detector.recordFailedCall(nanos(play.now));
                 assertTrue(play.readAfter(4 + 0.9).isPresent(), "seed " + seed);
             }
         }
@@ -69,7 +69,7 @@
         for (int seed = 0; seed < SEEDS; seed++) {
             Play play = new Play(19, seed);
             play.readUntilStart();
-            play.detector.recordFailedCall();
+            play.detector.recordFailedCall(nanos(play.now));
             assertEquals(Optional.empty(), play.readAfter(5), "seed " + seed);
         }
     }
@@ -81,7 +81,7 @@
         play.readUntilStart();
         for (int i = 0; i < 5; i++) {
             play.storeAwayFor(5);
-            play.detector.recordFailedCall();
+            play.detector.recordFailedCall(nanos(play.now));
             assertTrue(play.readAfter(5.1).isPresent(), "outage " + i);
             play.readAfter(READ_SECONDS);
         }
@@ -90,27 +90,36 @@
     @Test
     void withoutKnownHeartbeatsTheCallsOfTheGatewayDecide() {
         detector.recordServed(Heartbeats.UNKNOWN, 0);
-        detector.recordUnansweredCall();
+        detector.recordUnansweredCall(nanos(4));
         assertEquals(Optional.empty(), detector.recordServed(Heartbeats.UNKNOWN, nanos(5)));
-        detector.recordFailedCall();
+        detector.recordFailedCall(nanos(9));
         assertEquals(Optional.of(Duration.ofSeconds(5)), detector.recordServed(Heartbeats.UNKNOWN, nanos(10)));
     }
 
     @Test
     void proofOfAnEarlierServiceChangesNothing() {
         detector.recordServed(Heartbeats.UNKNOWN, nanos(10));
-        detector.recordFailedCall();
+        detector.recordFailedCall(nanos(11));
         assertEquals(Optional.empty(), detector.recordServed(Heartbeats.UNKNOWN, nanos(9)));
         assertEquals(Optional.of(Duration.ofSeconds(3)), detector.recordServed(Heartbeats.UNKNOWN, nanos(13)));
     }
 
+    /** Guards against an outage that is overlooked because a peer's copy from before the failed call arrives late. */
+    @Test
+    void proofOfServiceBeforeAFailedCallDoesNotExplainIt() {
+        detector.recordServed(Heartbeats.UNKNOWN, nanos(10));
+        detector.recordFailedCall(nanos(11));
+        assertEquals(Optional.empty(), detector.recordServed(Heartbeats.UNKNOWN, nanos(10.5)));
+        assertEquals(Optional.of(Duration.ofSeconds(3)), detector.recordServed(Heartbeats.UNKNOWN, nanos(13.5)));
+    }
+
     /** Guards against an entry of another writer whose numbers hide that no upstream has written. */
     @Test
     void aNumberThatIsNoHeartbeatDoesNotHideAnOutage() {
         Play play = new Play(19, 1);
         play.readUntilStart();
         play.storeAwayFor(4);
-        play.detector.recordFailedCall();
+        play.detector.recordFailedCall(nanos(play.now));
         play.extra.put("u0", 100L);
         assertTrue(play.readAfter(4).isPresent());
     }
--- a/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
@@ -30,10 +30,11 @@
  * Mirrors the store: a single watch over all keys delivers the configuration and the list of upstreams.
  *
  * <p>Invariants: a version of the configuration is passed on only if it is higher than the previous one; an entry that
- * can't be decoded yields no upstream, doesn't affect the others and is not held; an unexpected failure of the listener
- * ends neither the handling of other changes nor the watch; a change that is made while the pages are read is seen by
- * the watch that follows; a watch whose response is too large is replaced by a read of all pages, each of which has a
- * bounded size; the copy of a peer replaces nothing that is newer. Not thread-safe: confined to the event loop.
+ * can't be decoded yields no upstream, doesn't affect the others and is not held; an unexpected failure of the
+ * listener ends neither the handling of other changes nor the watch; a change that is made while the pages are read is
+ * seen by the watch that follows; a watch whose response is too large is replaced by a read of all pages, each of
+ * which has a bounded size; the copy of a peer replaces nothing that is newer, and counts as service at the time it
+ * was read. Not thread-safe: confined to the event loop.
  */
 public final class StoreMirror implements StoreReader.Listener {
     private static final EventLog LOG = EventLog.of(StoreMirror.class);
@@ -184,10 +185,15 @@
     }
 
     private void adoptPeerCopy(InetSocketAddress peer, MetadataStore.Page page) {
-        if (page.revision() < newestRevision || page.revision() <= revision.orElse(0L)) {
+        if (page.revision() < newestRevision || page.revision() < revision.orElse(0L)) {
             return;
         }
         Duration age = page.age().filter(a -> !a.isNegative()).orElse(MAX_COPY_AGE);
+        long servedNanos = System.nanoTime() - age.toNanos();
+        if (revision.filter(r -> r == page.revision()).isPresent()) {
+            handleUnchanged(servedNanos);
+            return;
+        }
         LOG.info("store-read-from-peer")
                 .with("peer", peer)
                 .with("age-ms", age.toMillis())
@@ -196,16 +202,24 @@
                 .write();
         FullRead read = new FullRead(keys, entries::isUsable);
         read.add(page);
-        handleFullRead(read, "peer", System.nanoTime() - age.toNanos());
+        handleFullRead(read, "peer", servedNanos);
         setRevision(page.revision());
     }
 
+    /** Handles the copy of a peer that shows no change, but that the store still serves the peer. */
+    private void handleUnchanged(long servedNanos) {
+        entries.apply(List.of(), "peer", servedNanos).ifPresent(this::setGracePeriod);
+        if (expireEntries(servedNanos)) {
+            notifyListener("upstreams", () -> listener.upstreamsUpdated(entries.list()));
+        }
+    }
+
     private void handleFullRead(FullRead read, String servedBy, long servedNanos) {
         copy.clear();
         read.items().forEach(i -> copy.put(i.key(), i));
         Optional.ofNullable(copy.get(ConfigurationDecoder.KEY)).ifPresent(this::handleConfiguration);
         entries.replaceAll(read.items(), servedBy, servedNanos).ifPresent(this::setGracePeriod);
-        expireEntries();
+        expireEntries(servedNanos);
         notifyListener("evacuations", () -> listener.evacuationsUpdated(evacuatedZones()));
         notifyListener("gateways", () -> listener.gatewaysUpdated(gateways()));
         notifyListener("crash-evidence", () -> listener.crashEvidenceUpdated(copies(CrashEvidenceStore.PREFIX)));
@@ -225,7 +239,8 @@
                             news.add(handleChange(c));
                         }
                     }
-                    entries.apply(news, System.nanoTime()).ifPresent(this::setGracePeriod);
+                    long servedNanos = System.nanoTime();
+                    entries.apply(news, "self", servedNanos).ifPresent(this::setGracePeriod);
                     copy.keySet().removeIf(key -> !entries.isMirrored(key));
                     if (hasChange(changes, EvacuationDecoder.KEY_PREFIX)) {
                         notifyListener("evacuations", () -> listener.evacuationsUpdated(evacuatedZones()));
@@ -238,7 +253,7 @@
                     if (hasChange(changes, GroupStore.PREFIX)) {
                         notifyListener("groups", () -> listener.groupsUpdated(copies(GroupStore.PREFIX)));
                     }
-                    boolean hasExpired = expireEntries();
+                    boolean hasExpired = expireEntries(servedNanos);
                     if (hasExpired || !changes.changes().isEmpty()) {
                         notifyListener("upstreams", () -> listener.upstreamsUpdated(entries.list()));
                     }
@@ -286,12 +301,12 @@
         graceEndNanos = OptionalLong.of(grace.endNanos());
     }
 
-    /** Drops the entries that were kept, if the grace period has ended; returns whether there were any. */
-    private boolean expireEntries() {
+    /** Drops the entries that were kept, if the store served after their grace; returns whether there were any. */
+    private boolean expireEntries(long servedNanos) {
         if (graceEndNanos.isPresent() && remainingGrace().isZero()) {
             graceEndNanos = OptionalLong.empty();
         }
-        return entries.expire();
+        return entries.expire(servedNanos);
     }
 
     /** Returns the time until the end of the grace period, or the given time if that is shorter. */
--- a/gateway/src/main/java/org/citrontide/gateway/store/UpstreamEntries.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/UpstreamEntries.java
@@ -53,11 +53,11 @@
     }
 
     void recordUnansweredCall() {
-        membership.recordUnansweredCall();
+        membership.recordUnansweredCall(System.nanoTime());
     }
 
     void recordStoreFailure() {
-        membership.recordStoreFailure();
+        membership.recordStoreFailure(System.nanoTime());
     }
 
     /**
@@ -75,28 +75,29 @@
         entries.forEach(i -> decode(i).ifPresent(upstreams::add));
         heartbeats.retain(upstreams.stream().map(ListedUpstream::id).collect(Collectors.toSet()));
         Optional<GracePeriod> grace = recordServed(heartbeats.take(), servedBy, servedNanos);
-        membership.replaceAll(upstreams, System.nanoTime()).forEach(UpstreamEntries::logRemoved);
+        membership.replaceAll(upstreams, servedNanos).forEach(UpstreamEntries::logRemoved);
         return grace;
     }
 
     /**
-     * Applies the changes that a watch has returned.
+     * Applies the changes since the last read.
      *
      * @param changes changes of any keys, as far as they are mirrored, in revision order
+     * @param servedBy who was served, for the log
      * @param servedNanos monotonic time in ns at which the store served them
      * @return the grace period that begins, if the store was away before
      */
-    Optional<GracePeriod> apply(List<Change> changes, long servedNanos) {
+    Optional<GracePeriod> apply(List<Change> changes, String servedBy, long servedNanos) {
         List<EntryChange> entryChanges =
                 changes.stream().filter(c -> isEntry(c.key())).map(this::read).toList();
-        Optional<GracePeriod> grace = recordServed(heartbeats.take(), "self", servedNanos);
-        entryChanges.forEach(this::applyChange);
+        Optional<GracePeriod> grace = recordServed(heartbeats.take(), servedBy, servedNanos);
+        entryChanges.forEach(c -> applyChange(c, servedNanos));
         return grace;
     }
 
-    /** Drops the entries that were kept, once their time has passed; returns whether there were any. */
-    boolean expire() {
-        Set<String> dropped = membership.expire(System.nanoTime());
+    /** Drops the entries that were kept, if the store served after their time; returns whether there were any. */
+    boolean expire(long servedNanos) {
+        Set<String> dropped = membership.expire(servedNanos);
         dropped.forEach(id -> LOG.info("upstream-expired").with("upstream", id).write());
         return !dropped.isEmpty();
     }
@@ -126,9 +127,9 @@
         return new EntryChange(id, upstream);
     }
 
-    private void applyChange(EntryChange c) {
+    private void applyChange(EntryChange c, long servedNanos) {
         if (c.upstream().isEmpty()) {
-            logRemoved(c.id(), membership.removeEntry(c.id(), System.nanoTime()));
+            logRemoved(c.id(), membership.removeEntry(c.id(), servedNanos));
             return;
         }
         ListedUpstream u = c.upstream().get();
--- a/gateway/src/test/java/org/citrontide/gateway/store/StoreOutageTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/store/StoreOutageTest.java
@@ -29,6 +29,8 @@
     private static final long BETWEEN_OUTAGES_MS = 1000;
     // The two seconds within which live upstreams write again, and as much as a slow response and a busy machine take.
     private static final Duration MAX_KEPT = Duration.ofMillis(3000);
+    // The users' limit for the time until a change is in force while the store doesn't serve some machines.
+    private static final Duration MAX_CHANGE_DELAY = Duration.ofSeconds(7);
     // Within the two seconds that live upstreams take at most.
     private static final long LATE_REREGISTRATION_MS = 1500;
 
@@ -112,6 +114,44 @@
         assertTrue(lists.all().stream().allMatch(l -> l.size() == 3), () -> "lists: " + lists.all());
     }
 
+    /** Guards against an upstream that is kept although the store served a peer, to which it showed no change. */
+    @Test
+    void anUpstreamRemovedAfterAQuietTimeAtAPeerIsNotKept() throws IOException {
+        startUpstreams("a", "b", "c");
+        StoreMirror peer = startMirror(store.port(), List.of(), new UpstreamLists());
+        try (FakeServer pages = new FakeServer(new InetSocketAddress("127.0.0.1", 0), call -> copyOf(peer))) {
+            startMirror(List.of(new InetSocketAddress("127.0.0.1", pages.port())));
+            proxy.silence();
+            proxy.setHeld(true);
+            List.of("a", "b", "c").forEach(this::silence);
+            pause(OUTAGE_MS);
+            leave("c");
+            join("d");
+            await("the changes were read", () -> lists.latest().contains("d"));
+            assertEquals(Set.of("a", "b", "d"), lists.latest());
+        }
+    }
+
+    /** Guards against a kept upstream that gets work for as long as a peer, the only source, sees no change. */
+    @Test
+    void aKeptUpstreamIsDroppedInTimeIfAPeerSeesNoChange() throws IOException {
+        startUpstreams("a", "b", "left");
+        StoreMirror peer = startMirror(store.port(), List.of(), new UpstreamLists());
+        try (FakeServer pages = new FakeServer(new InetSocketAddress("127.0.0.1", 0), call -> copyOf(peer))) {
+            startMirror(List.of(new InetSocketAddress("127.0.0.1", pages.port())));
+            proxy.silence();
+            proxy.setHeld(true);
+            expireInOutage(Mode.REFUSING, "left");
+            int known = lists.all().size();
+            await("the removal was read", () -> lists.all().size() > known);
+            long keptNanos = System.nanoTime();
+            assertTrue(lists.latest().contains("left"));
+            await("the upstream is dropped", () -> lists.latest().equals(Set.of("a", "b")));
+            Duration kept = Duration.ofNanos(System.nanoTime() - keptNanos);
+            assertTrue(kept.compareTo(MAX_CHANGE_DELAY) < 0, () -> "kept for " + kept);
+        }
+    }
+
     /**
      * Guards against callers who are refused because the old copy of a peer passed for service in the middle of an
      * outage, the rest of which seemed too short for entries to expire.
