Reject responses whose status code is below 100 or above 599

Cause: HeadScanner, which checks each head before the library decodes it, took any three digits for a status code, and so does the library. RFC 9110, section 15: a status code is 100 to 599.

Change: the scanner rejects the first digit, so the response is broken off like any other that is not one: attempt that may have run, connection closed, nothing read of its fields. ResponseDecoder is the one reader of responses of upstreams, engines, the store and peers, so all of them are covered.

The gateway test sends each code with a length and in chunks, with and without a promise, on unsafe, safe and streaming routes: 502 and one arrival for the unsafe one, the whole other response and two arrivals for the others, each connection closed. The decoder test plays all 1,000 codes.

--- a/gateway/src/main/java/org/citrontide/gateway/http/HeadScanner.java
+++ b/gateway/src/main/java/org/citrontide/gateway/http/HeadScanner.java
@@ -3,9 +3,9 @@
 /**
  * Checks the bytes of one response head while they arrive.
  *
- * <p>Invariant: an accepted head has one status line, which begins with its first byte, and its lines are separated by
- * CRLF and not folded. A head that is made of the bytes of two responses is therefore never accepted: the second one
- * contributes its own status line. Not thread-safe.
+ * <p>Invariants: an accepted head has one status line, which begins with its first byte and has a status code from 100
+ * to 599, and its lines are separated by CRLF and not folded. A head that is made of the bytes of two responses is
+ * therefore never accepted: the second one contributes its own status line. Not thread-safe.
  */
 final class HeadScanner {
     // The limits of Netty's decoder for the first line and for the fields together.
@@ -64,6 +64,7 @@
     private Part nextInStatusLine(byte b) throws MalformedResponseException {
         if (length < StatusLineMatcher.LENGTH) {
             require(StatusLineMatcher.fits(length, b), "no-status-line");
+            require(length != StatusLineMatcher.CODE_OFFSET || b >= '1' && b <= '5', "status-code");
             return Part.STATUS_LINE;
         }
         require(length > StatusLineMatcher.LENGTH || b == ' ' || b == '\r', "no-status-line");
--- a/gateway/src/main/java/org/citrontide/gateway/http/StatusLineMatcher.java
+++ b/gateway/src/main/java/org/citrontide/gateway/http/StatusLineMatcher.java
@@ -8,6 +8,9 @@
     /** Length of the beginning of a status line, up to its status code, in bytes. */
     static final int LENGTH = 12;
 
+    /** Offset of the status code in a status line, in bytes. */
+    static final int CODE_OFFSET = 9;
+
     private static final String VERSION = "HTTP/1.";
     private static final int SPACE_OFFSET = 8;
 
--- /dev/null
+++ b/gateway/src/test/java/org/citrontide/gateway/MalformedResponseTest.java
@@ -0,0 +1,130 @@
+package org.citrontide.gateway;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.UnaryOperator;
+import java.util.stream.Stream;
+
+import org.citrontide.fakes.platform.FakeHttpUpstream.ReceivedRequest;
+import org.citrontide.fakes.platform.FakeHttpUpstream.Reply;
+import org.citrontide.fakes.platform.FakeHttpUpstream.Script;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Tests a gateway over sockets with upstreams whose first response to each request violates the grammar of HTTP. */
+final class MalformedResponseTest extends GatewayHarness {
+    private static final String MARK = "malformed";
+    private static final String FIELDS =
+            "Citrontide-Attempt-Id: %s\r\nCitrontide-Response-Stamp: " + MARK + "\r\nKeep-Alive: timeout=5\r\n";
+    private static final String NOT_RUN_FIELD = "Citrontide-Not-Executed: 1\r\n";
+    private static final String EVENT = "id: 1\ndata: " + MARK + "\n\n";
+    private static final List<String> BODIES = List.of(
+            "Content-Length: " + EVENT.length() + "\r\n\r\n" + EVENT,
+            "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(EVENT.length()) + "\r\n" + EVENT
+                    + "\r\n0\r\n\r\n");
+    private static final List<String> STATUS_CODES = List.of("000", "001", "020", "099", "600", "799", "999");
+    private static final String GOOD_EVENT = "id: 1\ndata: good\n\n";
+
+    private final Map<String, AtomicInteger> arrivals = new ConcurrentHashMap<>();
+    private final AtomicInteger closedConnections = new AtomicInteger();
+    private volatile String malformed;
+
+    // RFC 9110, section 15: a status code is a number from 100 to 599.
+    @Test
+    void responseWithAnInvalidStatusCodeIsBroken() throws IOException {
+        checkBroken("status-code", responses(code -> "HTTP/1.1 " + code + " Broken\r\n" + FIELDS, STATUS_CODES));
+    }
+
+    @Test
+    void streamWhoseContinuationIsMalformedIsIncomplete() throws IOException {
+        Script script = (r, reply) -> {
+            if (r.header("Last-Event-Id").isEmpty()) {
+                reply.writeHead("200 OK", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
+                reply.writeChunk(GOOD_EVENT);
+                pause(30);
+                reply.reset();
+            }
+            String head = "HTTP/1.1 000 Broken\r\n" + FIELDS.formatted(r.header("Citrontide-Attempt-Id"));
+            reply.write(head + BODIES.getFirst());
+            reply.awaitClose();
+        };
+        addUpstream("a", script);
+        addUpstream("b", script);
+        RawCaller.Response response = request("/stream/");
+        assertEquals(GOOD_EVENT, response.body());
+        assertFalse(response.isComplete());
+    }
+
+    /** Returns responses with each of the heads, with and without a promise, and each framing of a body. */
+    private static List<String> responses(UnaryOperator<String> head, List<String> variants) {
+        return variants.stream()
+                .map(head)
+                .flatMap(h -> Stream.of(h, h + NOT_RUN_FIELD))
+                .flatMap(h -> BODIES.stream().map(h::concat))
+                .toList();
+    }
+
+    private void checkBroken(String reason, List<String> responses) throws IOException {
+        addUpstream("a", this::respond);
+        addUpstream("b", this::respond);
+        for (int i = 0; i < responses.size(); i++) {
+            malformed = responses.get(i);
+            checkNotRepeated("/book/" + i);
+            checkRepeated("/look/" + i);
+            checkRepeated("/stream/" + i);
+        }
+        int sent = 3 * responses.size();
+        await("all connections with malformed responses are closed", () -> closedConnections.get() == sent);
+        String counter = "citrontide_gateway_rejected_responses_total{reason=\"" + reason + "\"} " + sent + ".0";
+        assertTrue(metrics().contains(counter), metrics());
+    }
+
+    private void checkNotRepeated(String target) throws IOException {
+        RawCaller.Response response = request(target);
+        assertEquals(502, response.status(), target);
+        assertNothingPassedOn(response);
+        assertEquals(1, arrivals.get(target).get(), target);
+    }
+
+    private void checkRepeated(String target) throws IOException {
+        RawCaller.Response response = request(target);
+        assertEquals(200, response.status(), target);
+        assertTrue(response.isComplete(), target);
+        assertEquals(GOOD_EVENT, response.body(), target);
+        assertNothingPassedOn(response);
+        assertEquals(2, arrivals.get(target).get(), target);
+    }
+
+    private static void assertNothingPassedOn(RawCaller.Response response) {
+        assertFalse((response.head() + response.body()).contains(MARK), response.toString());
+    }
+
+    private RawCaller.Response request(String target) throws IOException {
+        try (RawCaller caller = new RawCaller(callerPort)) {
+            caller.sendRequest("POST", target, "id-" + target.replace('/', '-'), "");
+            return caller.readResponse();
+        }
+    }
+
+    private void respond(ReceivedRequest r, Reply reply) throws IOException {
+        String target = r.requestLine().split(" ")[1];
+        if (arrivals.computeIfAbsent(target, t -> new AtomicInteger()).incrementAndGet() > 1) {
+            reply.writeHead(
+                    "200 OK", "Content-Type: text/event-stream\r\nContent-Length: " + GOOD_EVENT.length() + "\r\n");
+            reply.write(GOOD_EVENT);
+            return;
+        }
+        reply.write(malformed.formatted(r.header("Citrontide-Attempt-Id")));
+        try {
+            reply.awaitClose();
+        } finally {
+            closedConnections.incrementAndGet();
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/citrontide/gateway/http/ResponseGrammarTest.java
@@ -0,0 +1,136 @@
+package org.citrontide.gateway.http;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Tests the decoder with responses that follow the grammar of RFC 9112, and with ones that violate it. */
+final class ResponseGrammarTest {
+    private static final int STATUS_CODES = 1000;
+    private static final int MIN_STATUS_CODE = 100;
+    private static final int MAX_STATUS_CODE = 599;
+    private static final int SWITCHING_PROTOCOLS = 101;
+
+    @Test
+    void statusCodesFrom100To599AreAccepted() {
+        for (int code = 0; code < STATUS_CODES; code++) {
+            String text = "HTTP/1.1 %03d Reason\r\nContent-Length: 0\r\n\r\n".formatted(code);
+            boolean isValid = code >= MIN_STATUS_CODE && code <= MAX_STATUS_CODE;
+            String expected = code == SWITCHING_PROTOCOLS
+                    ? "rejected switching-protocols"
+                    : isValid ? code + " complete" : "rejected status-code";
+            assertDecoded(expected, text);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK",
+                "HTTP/1.0 200 OK",
+                "HTTP/1.1 200 ",
+                "HTTP/1.1 200",
+                "HTTP/1.1 200 \tOK  then",
+                "HTTP/1.1 200 \u00e9\u00ff"
+            })
+    void statusLineIsAccepted(String line) {
+        assertDecoded("200 complete", line + "\r\nContent-Length: 0\r\n\r\n");
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 20 OK",
+                "HTTP/1.1 2000 OK",
+                "HTTP/1.1 2x0 OK",
+                "HTTP/1.1 +20 OK",
+                "HTTP/1.1 -20 OK",
+                "HTTP/1.1 200OK",
+                "HTTP/1.1 200\tOK",
+                "HTTP/1.1  200 OK",
+                "HTTP/1.1\t200 OK",
+                " HTTP/1.1 200 OK",
+                "HTTP/1.1200 OK",
+                "HTTP/2.0 200 OK",
+                "HTTP/1.10 200 OK",
+                "HTTP/1 200 OK",
+                "http/1.1 200 OK",
+                "ICY 200 OK",
+                "200 OK",
+                "\r\nHTTP/1.1 200 OK"
+            })
+    void malformedStatusLineIsRejected(String line) {
+        assertDecoded("rejected no-status-line", line + "\r\nContent-Length: 0\r\n\r\n");
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {"HTTP/1.1 200 O\u0000K", "HTTP/1.1 200 O\u007fK", "HTTP/1.1 200 O\u000bK", "HTTP/1.1 200 O\nK"})
+    void controlByteInReasonPhraseIsRejected(String line) {
+        assertDecoded("rejected control-character", line + "\r\nContent-Length: 0\r\n\r\n");
+    }
+
+    /** Checks what is decoded of a response, whose reason for a rejection may be left out, however it arrives. */
+    private static void assertDecoded(String expected, String text) {
+        String whole = decode(List.of(text));
+        String inBytes = decode(List.of(text.split("")));
+        String description = text.replace("\r", "\\r").replace("\n", "\\n");
+        boolean isAnyReason = expected.endsWith("rejected");
+        assertEquals(expected, isAnyReason ? withoutReason(whole) : whole, description);
+        assertEquals(expected, isAnyReason ? withoutReason(inBytes) : inBytes, description);
+    }
+
+    private static String withoutReason(String outcome) {
+        return outcome.replaceAll("rejected .*", "rejected");
+    }
+
+    /** Returns status, body and the end of the response, with the reason if it is rejected. */
+    private static String decode(List<String> parts) {
+        ResponseDecoder decoder = new ResponseDecoder(List.of());
+        EmbeddedChannel channel = new EmbeddedChannel(decoder);
+        decoder.expectResponseTo("GET");
+        List<String> decoded = new ArrayList<>();
+        StringBuilder body = new StringBuilder();
+        String end = "";
+        for (String part : parts) {
+            channel.writeInbound(Unpooled.copiedBuffer(part, StandardCharsets.ISO_8859_1));
+            for (Object o = channel.readInbound(); o != null; o = channel.readInbound()) {
+                HttpObject message = (HttpObject) o;
+                boolean isRejected = message.decoderResult().isFailure();
+                if (message instanceof HttpResponse r && !isRejected) {
+                    decoded.add(Integer.toString(r.status().code()));
+                }
+                if (message instanceof HttpContent c) {
+                    body.append(c.content().toString(StandardCharsets.ISO_8859_1));
+                }
+                if (isRejected) {
+                    end = "rejected "
+                            + MalformedResponseException.reasonOf(
+                                    message.decoderResult().cause());
+                } else if (message instanceof LastHttpContent) {
+                    end = "complete";
+                }
+                ReferenceCountUtil.release(o);
+            }
+        }
+        channel.finishAndReleaseAll();
+        if (!body.isEmpty()) {
+            decoded.add(body.toString());
+        }
+        decoded.add(end);
+        return String.join(" ", decoded);
+    }
+}
