Test that responses with malformed fields or lengths are broken off

No code is changed.

MalformedResponseTest sends one name for each class of byte (blank before the colon and inside, tab, NUL, other control bytes, DEL, delimiters, bytes above 127, none, no colon) and a blank before the name, with and without a promise, on unsafe, safe and streaming routes. ResponseGrammarTest plays each of the 256 bytes in a name, at its end and at its beginning, and in a value; and malformed lengths, and responses without a body.

--- a/gateway/src/test/java/org/citrontide/gateway/MalformedResponseTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/MalformedResponseTest.java
@@ -24,11 +24,27 @@
             "Citrontide-Attempt-Id: %s\r\nCitrontide-Response-Stamp: " + MARK + "\r\nKeep-Alive: timeout=5\r\n";
     private static final String NOT_RUN_FIELD = "Citrontide-Not-Executed: 1\r\n";
     private static final String EVENT = "id: 1\ndata: " + MARK + "\n\n";
-    private static final List<String> BODIES = List.of(
-            "Content-Length: " + EVENT.length() + "\r\n\r\n" + EVENT,
-            "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(EVENT.length()) + "\r\n" + EVENT
-                    + "\r\n0\r\n\r\n");
+    private static final String SIZED = "Content-Length: " + EVENT.length() + "\r\n\r\n" + EVENT;
+    private static final String CHUNKED = "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(EVENT.length())
+            + "\r\n" + EVENT + "\r\n0\r\n\r\n";
     private static final List<String> STATUS_CODES = List.of("000", "001", "020", "099", "600", "799", "999");
+    // One name for each class of byte that is not allowed in one; bytes above 127 are those of a UTF-8 character.
+    private static final List<String> FIELD_LINES = List.of(
+            "X : a",
+            "X\t: a",
+            "X Y: a",
+            "X\tY: a",
+            "X\u0000Y: a",
+            "X\u0001Y: a",
+            "X\u000bY: a",
+            "X\u001fY: a",
+            "\u0000: a",
+            "X\u007f: a",
+            "X(Y): a",
+            "X\u00e9: a",
+            ": a",
+            "X");
+    private static final String HEAD = "HTTP/1.1 200 OK\r\n" + FIELDS;
     private static final String GOOD_EVENT = "id: 1\ndata: good\n\n";
 
     private final Map<String, AtomicInteger> arrivals = new ConcurrentHashMap<>();
@@ -38,7 +54,27 @@
     // RFC 9110, section 15: a status code is a number from 100 to 599.
     @Test
     void responseWithAnInvalidStatusCodeIsBroken() throws IOException {
-        checkBroken("status-code", responses(code -> "HTTP/1.1 " + code + " Broken\r\n" + FIELDS, STATUS_CODES));
+        checkBroken(
+                "status-code",
+                responses(
+                        STATUS_CODES,
+                        code -> "HTTP/1.1 " + code + " Broken\r\n" + FIELDS,
+                        SIZED,
+                        CHUNKED,
+                        NOT_RUN_FIELD + SIZED,
+                        NOT_RUN_FIELD + CHUNKED));
+    }
+
+    @Test
+    void responseWithAMalformedFieldNameIsBroken() throws IOException {
+        checkBroken("field-name", responses(FIELD_LINES, line -> HEAD + line + "\r\n", SIZED, NOT_RUN_FIELD + CHUNKED));
+    }
+
+    @Test
+    void responseWithABlankAtTheBeginningOfALineIsBroken() throws IOException {
+        checkBroken(
+                "folded-line",
+                responses(List.of(" X: a", "\tX: a"), line -> HEAD + line + "\r\n", SIZED, NOT_RUN_FIELD + CHUNKED));
     }
 
     @Test
@@ -51,7 +87,7 @@
                 reply.reset();
             }
             String head = "HTTP/1.1 000 Broken\r\n" + FIELDS.formatted(r.header("Citrontide-Attempt-Id"));
-            reply.write(head + BODIES.getFirst());
+            reply.write(head + SIZED);
             reply.awaitClose();
         };
         addUpstream("a", script);
@@ -61,12 +97,11 @@
         assertFalse(response.isComplete());
     }
 
-    /** Returns responses with each of the heads, with and without a promise, and each framing of a body. */
-    private static List<String> responses(UnaryOperator<String> head, List<String> variants) {
+    /** Returns a response for each variant and ending; more than 30 would exceed the retry budget of a gateway. */
+    private static List<String> responses(List<String> variants, UnaryOperator<String> head, String... endings) {
         return variants.stream()
                 .map(head)
-                .flatMap(h -> Stream.of(h, h + NOT_RUN_FIELD))
-                .flatMap(h -> BODIES.stream().map(h::concat))
+                .flatMap(h -> Stream.of(endings).map(h::concat))
                 .toList();
     }
 
--- a/gateway/src/test/java/org/citrontide/gateway/http/ResponseGrammarTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/http/ResponseGrammarTest.java
@@ -83,6 +83,72 @@
         assertDecoded("rejected control-character", line + "\r\nContent-Length: 0\r\n\r\n");
     }
 
+    @Test
+    void tokensAreAcceptedAsFieldNames() {
+        for (char c = 0; c < 256; c++) {
+            boolean isToken = c < 128 && (Character.isLetterOrDigit(c) || "!#$%&'*+-.^_`|~".indexOf(c) >= 0);
+            String expected = isToken || c == ':' ? "200 complete" : "rejected field-name";
+            assertDecoded(expected, withField("X" + c + "Y: a"));
+            assertDecoded(isToken || c == ':' ? "200 complete" : "rejected field-name", withField("X" + c + ": a"));
+            String first = c == ' ' || c == '\t' ? "rejected folded-line" : c == '\r' ? "rejected bare-cr" : expected;
+            assertDecoded(c == ':' ? "rejected field-name" : first, withField(c + "X: a"));
+        }
+        assertDecoded("rejected field-name", withField(": a"));
+        assertDecoded("rejected field-name", withField("X-Without-Colon"));
+    }
+
+    @Test
+    void visibleCharactersSpacesAndTabsAreAcceptedInFieldValues() {
+        for (char c = 0; c < 256; c++) {
+            boolean isControl = c < ' ' && c != '\t' || c == 0x7f;
+            String control = c == '\r' ? "rejected bare-cr" : "rejected control-character";
+            assertDecoded(isControl ? control : "200 complete", withField("X: a" + c + "b"));
+        }
+        assertDecoded("200 complete", withField("X:"));
+        assertDecoded("200 complete", withField("X: \t a \t "));
+        assertDecoded("rejected folded-line", withField("X: a\r\n b"));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"0", "00", " 0 ", "\t0\t", "000000000000000000"})
+    void contentLengthIsAccepted(String value) {
+        assertDecoded("200 complete", "HTTP/1.1 200 OK\r\nContent-Length:" + value + "\r\n\r\n");
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "+3",
+                "-3",
+                "0x3",
+                "3.0",
+                "3a",
+                "3 3",
+                "3,3",
+                "3, 4",
+                "3\r\nContent-Length: 3",
+                "3\r\nContent-Length: 4",
+                "9223372036854775808",
+                "99999999999999999999"
+            })
+    void malformedContentLengthIsRejected(String value) {
+        assertDecoded("rejected unparsable", "HTTP/1.1 200 OK\r\nContent-Length: " + value + "\r\n\r\nown");
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"204 No Content", "304 Not Modified"})
+    void statusWithoutABodyEndsWithItsHead(String status) {
+        String code = status.substring(0, 3);
+        for (String fields : List.of("", "Content-Length: 3\r\n", "Transfer-Encoding: chunked\r\n")) {
+            assertDecoded(code + " complete", "HTTP/1.1 " + status + "\r\n" + fields + "\r\n");
+        }
+    }
+
+    private static String withField(String line) {
+        return "HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 0\r\n\r\n";
+    }
+
     /** Checks what is decoded of a response, whose reason for a rejection may be left out, however it arrives. */
     private static void assertDecoded(String expected, String text) {
         String whole = decode(List.of(text));
