Reject responses with a transfer coding other than chunked

With gzip, identity, "chunked;q=1", any unknown coding or an empty field the body lasted until the end of the connection and held the chunk framing; a Content-Length beside gzip or identity was taken for the length.

Cause: as with the status code, only the library's decoder judged it. It removes a chunked coding wherever the list names it, and takes any other for none.

Change: a head is accepted if its body has no transfer coding, or a single chunked one in all its Transfer-Encoding fields, and broken off otherwise (reason transfer-coding). Requests never contain TE, so an upstream must not apply another one (RFC 9112, section 7.4). Responses without a body (HEAD, 1xx, 204, 304) may still name any, since nothing of it has to be read.

Evidence, x86_64. Before: MalformedResponseTest, "gzip, chunked" on the unsafe route 200 instead of 502; ResponseGrammarTest 11 of 15 codings not rejected. After: both pass, and so do ResponseDecoderTest and ResponseBoundsTest. The store, peers and engines are read by the same decoder.

--- a/gateway/src/main/java/org/citrontide/gateway/http/ResponseDecoder.java
+++ b/gateway/src/main/java/org/citrontide/gateway/http/ResponseDecoder.java
@@ -1,12 +1,16 @@
 package org.citrontide.gateway.http;
 
 import java.util.List;
+import java.util.stream.Stream;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -24,7 +28,8 @@
  * irregularity, which is passed on as a message or content whose decoder result is a failure, nothing is decoded any
  * more. Line ends before a status line are rejected too, because a peer that ends its responses where it says sends
  * none. The number of interim and skipped responses before the one that is due is limited, and so are the bytes of
- * chunk framing and trailers in proportion to those of data. A response to a HEAD request has no body, whatever its
+ * chunk framing and trailers in proportion to those of data; a body has no transfer coding other than chunked, since its
+ * receivers get it without the Transfer-Encoding field. A response to a HEAD request has no body, whatever its
  * Content-Length is. Not thread-safe: owned by the event loop.
  */
 public final class ResponseDecoder extends HttpResponseDecoder {
@@ -34,6 +39,8 @@
     private static final int MAX_FRAMING_PER_BYTE = 8;
     private static final int MIN_FRAMING_LIMIT = 64 * 1024;
 
+    private static final String CHUNKED = HttpHeaderValues.CHUNKED.toString();
+
     private final List<String> singleFields;
     private HeadScanner head = new HeadScanner();
     private StatusLineMatcher skippedMatcher = new StatusLineMatcher();
@@ -191,6 +198,20 @@
                 throw new MalformedResponseException("repeated-field");
             }
         }
+        if (!isContentAlwaysEmpty(response) && !hasReadableCoding(response.headers())) {
+            throw new MalformedResponseException("transfer-coding");
+        }
+    }
+
+    /** Returns whether the body has no transfer coding but a single chunked one, which alone is removed from it. */
+    private static boolean hasReadableCoding(HttpHeaders headers) {
+        List<String> fields = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        List<String> codings = fields.stream()
+                .flatMap(field -> Stream.of(field.split(",")))
+                .map(String::strip)
+                .filter(coding -> !coding.isEmpty())
+                .toList();
+        return fields.isEmpty() || codings.size() == 1 && CHUNKED.equalsIgnoreCase(codings.getFirst());
     }
 
     private void decodeBody(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
--- a/gateway/src/test/java/org/citrontide/gateway/MalformedResponseTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/MalformedResponseTest.java
@@ -25,9 +25,12 @@
     private static final String NOT_RUN_FIELD = "Citrontide-Not-Executed: 1\r\n";
     private static final String EVENT = "id: 1\ndata: " + MARK + "\n\n";
     private static final String SIZED = "Content-Length: " + EVENT.length() + "\r\n\r\n" + EVENT;
-    private static final String CHUNKED = "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(EVENT.length())
-            + "\r\n" + EVENT + "\r\n0\r\n\r\n";
+    private static final String CHUNKS =
+            "\r\n" + Integer.toHexString(EVENT.length()) + "\r\n" + EVENT + "\r\n0\r\n\r\n";
+    private static final String CHUNKED = "Transfer-Encoding: chunked\r\n" + CHUNKS;
     private static final List<String> STATUS_CODES = List.of("000", "001", "020", "099", "600", "799", "999");
+    private static final List<String> TRANSFER_CODINGS = List.of(
+            "gzip, chunked", "gzip\r\nTransfer-Encoding: chunked", "gzip", "identity", "xchunked", "chunked;q=1", "");
     // One name for each class of byte that is not allowed in one; bytes above 127 are those of a UTF-8 character.
     private static final List<String> FIELD_LINES = List.of(
             "X : a",
@@ -77,6 +80,18 @@
                 responses(List.of(" X: a", "\tX: a"), line -> HEAD + line + "\r\n", SIZED, NOT_RUN_FIELD + CHUNKED));
     }
 
+    // The caller would get the coded bytes as the body, or a body that ends with the connection and holds the framing.
+    @Test
+    void responseWithAnUnknownTransferCodingIsBroken() throws IOException {
+        checkBroken(
+                "transfer-coding",
+                responses(
+                        TRANSFER_CODINGS,
+                        coding -> HEAD + "Transfer-Encoding: " + coding + "\r\n",
+                        CHUNKS,
+                        NOT_RUN_FIELD + CHUNKS));
+    }
+
     @Test
     void streamWhoseContinuationIsMalformedIsIncomplete() throws IOException {
         Script script = (r, reply) -> {
--- a/gateway/src/test/java/org/citrontide/gateway/http/ResponseGrammarTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/http/ResponseGrammarTest.java
@@ -136,12 +136,48 @@
         assertDecoded("rejected unparsable", "HTTP/1.1 200 OK\r\nContent-Length: " + value + "\r\n\r\nown");
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"chunked", "Chunked", " \tchunked\t ", "chunked,", ",chunked"})
+    void chunkedIsAcceptedAsTransferCoding(String value) {
+        assertDecoded("200 own complete", withCoding(value));
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "gzip",
+                "identity",
+                "gzip, chunked",
+                "chunked, gzip",
+                "chunked, chunked",
+                "chunked;q=1",
+                "xchunked",
+                "chunked chunked",
+                "\"chunked\"",
+                "chunked\r\nTransfer-Encoding: chunked",
+                "gzip\r\nTransfer-Encoding: chunked",
+                "chunked\r\nTransfer-Encoding: gzip",
+                "gzip\r\nContent-Length: 3",
+                "identity\r\nContent-Length: 3"
+            })
+    void otherTransferCodingsAreRejected(String value) {
+        assertDecoded("rejected", withCoding(value));
+    }
+
+    @Test
+    void framingThatIsAmbiguousIsRejected() {
+        assertDecoded("rejected", withCoding("chunked\r\nContent-Length: 3"));
+        assertDecoded("rejected", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nown\r\n0\r\n\r\n");
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"204 No Content", "304 Not Modified"})
     void statusWithoutABodyEndsWithItsHead(String status) {
         String code = status.substring(0, 3);
-        for (String fields : List.of("", "Content-Length: 3\r\n", "Transfer-Encoding: chunked\r\n")) {
-            assertDecoded(code + " complete", "HTTP/1.1 " + status + "\r\n" + fields + "\r\n");
+        for (String field :
+                List.of("X: a", "Content-Length: 3", "Transfer-Encoding: chunked", "Transfer-Encoding: gzip")) {
+            assertDecoded(code + " complete", "HTTP/1.1 " + status + "\r\n" + field + "\r\n\r\n");
         }
     }
 
@@ -149,6 +185,10 @@
         return "HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 0\r\n\r\n";
     }
 
+    private static String withCoding(String value) {
+        return "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + value + "\r\n\r\n3\r\nown\r\n0\r\n\r\n";
+    }
+
     /** Checks what is decoded of a response, whose reason for a rejection may be left out, however it arrives. */
     private static void assertDecoded(String expected, String text) {
         String whole = decode(List.of(text));
