Reject responses with malformed chunk extensions and trailers

Callers got the body of a response as a whole one, a 200 with the upstream's stamp, though its chunk framing was not HTTP's: an extension without a name or with a blank in it ("3;", "3;=b", "3;a b"), a blank behind it, or trailers with a blank before the colon or a folded line. A Citrontide-Not-Executed in its head was believed.

Cause: as with the status code, only the library's decoder judged the framing, and it skips extensions and reads trailers leniently.

Change: ResponseDecoder checks the bytes that the library has decoded with the ChunkDecoder of requests, which moves to the common package; data is skipped, not scanned. ChunkDecoder rejected blanks around the names of extensions, which RFC 9112, section 7.1.1, lets a recipient remove, and which responses with them were accepted for; it takes them now, in requests too. A blank behind a value stays rejected, as by the library (in the grammar, listed as not supported).

Ruled out: sizes that overflow, that are signed or followed by other bytes, and line ends other than CRLF; the library rejects all of these (ResponseGrammarTest).

Evidence, x86_64. Before: MalformedResponseTest 2 cases, 200 instead of 502 on the unsafe route; ResponseGrammarTest 5 forms "complete"; 2 of 6 forms of PlatformClientMalformedResponseTest answered a call of the store. After: all pass; so do RequestDecoderTest, which compares with the library's decoder, and the tests of cut, second, endless, unframed and spoiled responses.

--- a/gateway/src/main/java/org/citrontide/gateway/caller/RequestDecoder.java
+++ b/gateway/src/main/java/org/citrontide/gateway/caller/RequestDecoder.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
+import org.citrontide.gateway.http.ChunkDecoder;
 
 /**
  * Decodes the requests of one connection: heads once they are complete, and bodies in one loop over their bytes.
--- a/gateway/src/main/java/org/citrontide/gateway/caller/ChunkDecoder.java
+++ b/gateway/src/main/java/org/citrontide/gateway/http/ChunkDecoder.java
@@ -1,16 +1,16 @@
-package org.citrontide.gateway.caller;
+package org.citrontide.gateway.http;
 
 import io.netty.buffer.ByteBuf;
 
 /**
- * Decodes the chunk framing of one request body in one loop over its bytes, without an object for a chunk.
+ * Decodes the chunk framing of one body in one loop over its bytes, without an object for a chunk.
  *
  * <p>Invariants: what Netty's strict decoder rejects is rejected: a size that is not hexadecimal digits only or exceeds
  * 31 bits, data that is not followed by CR LF, a line end other than CR LF, and an extension that is not a token or a
- * token with a value; folded trailers and spaces within extensions are rejected too. Extensions and trailers are
+ * token with a value; folded trailers and blanks behind a size or a value are rejected too. Extensions and trailers are
  * dropped and limited in length. Not thread-safe: owned by the event loop.
  */
-final class ChunkDecoder {
+public final class ChunkDecoder {
     private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
     private static final int HEX_SHIFT = 4;
     private static final int HEX_RADIX = 16;
@@ -26,6 +26,7 @@
         AFTER_SIZE,
         EXTENSION_START,
         EXTENSION_NAME,
+        AFTER_EXTENSION_NAME,
         EXTENSION_VALUE_START,
         EXTENSION_VALUE,
         EXTENSION_QUOTED,
@@ -44,12 +45,22 @@
         MALFORMED
     }
 
-    ChunkDecoder(int maxLineBytes) {
+    /**
+     * Creates a decoder at the beginning of a body.
+     *
+     * @param maxLineBytes maximum length of a chunk size with its extensions, and of all trailers, in bytes
+     */
+    public ChunkDecoder(int maxLineBytes) {
         this.maxLineBytes = maxLineBytes;
     }
 
-    /** Skips framing; returns the number of bytes of data that begin at the reader index, 0 if there are none. */
-    int skipFraming(ByteBuf in) {
+    /**
+     * Skips framing.
+     *
+     * @param in received bytes
+     * @return number of bytes of data that begin at the reader index, 0 if there are none
+     */
+    public int skipFraming(ByteBuf in) {
         int position = in.readerIndex();
         int end = in.writerIndex();
         while (position < end && part != Part.DATA && part != Part.END && part != Part.MALFORMED) {
@@ -60,19 +71,33 @@
         return part == Part.DATA ? (int) Math.min(size, end - position) : 0;
     }
 
-    /** Takes note that bytes of data were read. */
-    void dataRead(int length) {
+    /**
+     * Takes note that bytes of data were read.
+     *
+     * @param length number of bytes, from 1 to the result of {@link #skipFraming}
+     */
+    public void dataRead(int length) {
         size -= length;
         if (size == 0) {
             part = Part.DATA_CR;
         }
     }
 
-    boolean isEnded() {
+    /**
+     * Returns whether the body has ended.
+     *
+     * @return true behind the last byte of the body
+     */
+    public boolean isEnded() {
         return part == Part.END;
     }
 
-    boolean isMalformed() {
+    /**
+     * Returns whether the framing is malformed.
+     *
+     * @return true from the first byte on that violates the grammar or a limit
+     */
+    public boolean isMalformed() {
         return part == Part.MALFORMED;
     }
 
@@ -95,10 +120,11 @@
         }
         return switch (part) {
             case AFTER_SIZE -> nextAfterSize(b);
-            case EXTENSION_START -> isToken(b) ? Part.EXTENSION_NAME : Part.MALFORMED;
-            case EXTENSION_NAME -> b == '=' ? Part.EXTENSION_VALUE_START : nextInExtension(b, Part.EXTENSION_NAME);
-            case EXTENSION_VALUE_START -> b == '"' ? Part.EXTENSION_QUOTED : requireToken(b, Part.EXTENSION_VALUE);
-            case EXTENSION_VALUE -> nextInExtension(b, Part.EXTENSION_VALUE);
+            case EXTENSION_START -> isBlank(b) ? part : requireToken(b, Part.EXTENSION_NAME);
+            case EXTENSION_NAME -> nextInExtensionName(b);
+            case AFTER_EXTENSION_NAME -> nextAfterExtensionName(b);
+            case EXTENSION_VALUE_START -> nextInExtensionValueStart(b);
+            case EXTENSION_VALUE -> isToken(b) ? part : nextAfterExtension(b);
             case EXTENSION_QUOTED -> nextInQuoted(b);
             case EXTENSION_ESCAPED -> isControl(b) ? Part.MALFORMED : Part.EXTENSION_QUOTED;
             case EXTENSION_END -> nextAfterExtension(b);
@@ -124,14 +150,34 @@
     }
 
     private static Part nextAfterSize(byte b) {
-        if (b == ' ' || b == '\t') {
+        if (isBlank(b)) {
             return Part.AFTER_SIZE;
         }
         return b == ';' ? Part.EXTENSION_START : Part.MALFORMED;
     }
 
-    private static Part nextInExtension(byte b, Part current) {
-        return isToken(b) ? current : nextAfterExtension(b);
+    private static Part nextInExtensionName(byte b) {
+        if (isToken(b)) {
+            return Part.EXTENSION_NAME;
+        }
+        return b == '\r' ? Part.SIZE_LF : nextAfterExtensionName(b);
+    }
+
+    private static Part nextAfterExtensionName(byte b) {
+        if (b == '=') {
+            return Part.EXTENSION_VALUE_START;
+        }
+        if (isBlank(b)) {
+            return Part.AFTER_EXTENSION_NAME;
+        }
+        return b == ';' ? Part.EXTENSION_START : Part.MALFORMED;
+    }
+
+    private static Part nextInExtensionValueStart(byte b) {
+        if (isBlank(b)) {
+            return Part.EXTENSION_VALUE_START;
+        }
+        return b == '"' ? Part.EXTENSION_QUOTED : requireToken(b, Part.EXTENSION_VALUE);
     }
 
     private static Part nextAfterExtension(byte b) {
@@ -168,6 +214,10 @@
         return isToken(b) ? next : Part.MALFORMED;
     }
 
+    private static boolean isBlank(byte b) {
+        return b == ' ' || b == '\t';
+    }
+
     private static boolean isControl(byte b) {
         return b >= 0 && b < ' ' && b != '\t' || b == 0x7f;
     }
--- a/gateway/src/main/java/org/citrontide/gateway/http/ResponseDecoder.java
+++ b/gateway/src/main/java/org/citrontide/gateway/http/ResponseDecoder.java
@@ -1,6 +1,7 @@
 package org.citrontide.gateway.http;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.Stream;
 
 import io.netty.buffer.ByteBuf;
@@ -16,6 +17,7 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 
@@ -24,13 +26,13 @@
  *
  * <p>Invariants: a response begins only where the response before it ended, and only while one is due; bytes that
  * arrive while none is due are passed on as {@link UnexpectedBytes} and never become a part of a response; a head is
- * decoded once it is complete, and has exactly one status line, which begins with its first byte; after an
- * irregularity, which is passed on as a message or content whose decoder result is a failure, nothing is decoded any
- * more. Line ends before a status line are rejected too, because a peer that ends its responses where it says sends
- * none. The number of interim and skipped responses before the one that is due is limited, and so are the bytes of
- * chunk framing and trailers in proportion to those of data; a body has no transfer coding other than chunked, since its
- * receivers get it without the Transfer-Encoding field. A response to a HEAD request has no body, whatever its
- * Content-Length is. Not thread-safe: owned by the event loop.
+ * decoded once it is complete, and has exactly one status line, which begins with its first byte; a body has no
+ * transfer coding other than chunked, since its receivers get it without the Transfer-Encoding field, and its chunks
+ * and trailers follow the grammar of RFC 9112; after an irregularity, which is passed on as a message or content whose
+ * decoder result is a failure, nothing is decoded any more. Line ends before a status line are rejected too, because a
+ * peer that ends its responses where it says sends none. The number of interim and skipped responses before the one
+ * that is due is limited, and so are the bytes of chunk framing and trailers in proportion to those of data. A response
+ * to a HEAD request has no body, whatever its Content-Length is. Not thread-safe: owned by the event loop.
  */
 public final class ResponseDecoder extends HttpResponseDecoder {
     // Upstreams send one interim response at most; a skipped one is the late response to an earlier attempt.
@@ -39,6 +41,8 @@
     private static final int MAX_FRAMING_PER_BYTE = 8;
     private static final int MIN_FRAMING_LIMIT = 64 * 1024;
 
+    // Above the limits of Netty's decoder for a line and for all trailers.
+    private static final int MAX_CHUNK_LINE_BYTES = 16 * 1024;
     private static final String CHUNKED = HttpHeaderValues.CHUNKED.toString();
 
     private final List<String> singleFields;
@@ -52,6 +56,7 @@
     private boolean hasEnded;
     private boolean isBroken;
     private int responsesBefore;
+    private Optional<ChunkDecoder> chunks = Optional.empty();
     private long bodyBytes;
     private long dataBytes;
 
@@ -177,6 +182,9 @@
         }
         isInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         isInBody = true;
+        chunks = HttpUtil.isTransferEncodingChunked(response)
+                ? Optional.of(new ChunkDecoder(MAX_CHUNK_LINE_BYTES))
+                : Optional.empty();
         bodyBytes = 0;
         dataBytes = 0;
         noteEnd(out, first);
@@ -217,32 +225,60 @@
     private void decodeBody(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
         int first = out.size();
         int begin = in.readerIndex();
+        super.decode(ctx, in, out);
+        try {
+            checkBody(in.slice(begin, in.readerIndex() - begin), out.subList(first, out.size()));
+        } catch (MalformedResponseException e) {
+            removeFrom(out, first);
+            throw e;
+        }
+        noteEnd(out, first);
+    }
 
+    /** Checks the bytes of a body that were decoded into some messages. */
+    private void checkBody(ByteBuf decoded, List<Object> messages) throws MalformedResponseException {
         boolean hasStatusLine = false;
-        super.decode(ctx, in, out);
-        for (int i = begin; isSkipping && i < in.readerIndex(); i++) {
-            hasStatusLine |= skippedMatcher.accept(in.getByte(i));
+        for (int i = 0; isSkipping && i < decoded.writerIndex(); i++) {
+            hasStatusLine |= skippedMatcher.accept(decoded.getByte(i));
         }
-        if (hasStatusLine || hasStatusLineInTrailers(out, first)) {
-            removeFrom(out, first);
+        if (hasStatusLine || hasStatusLineInTrailers(messages)) {
             throw new MalformedResponseException("second-status-line");
         }
-        bodyBytes += in.readerIndex() - begin;
-        for (Object message : out.subList(first, out.size())) {
-            dataBytes +=
-                    message instanceof HttpContent content ? content.content().readableBytes() : 0;
+        bodyBytes += decoded.readableBytes();
+        boolean hasFailed = false;
+        boolean isLast = false;
+        for (Object message : messages) {
+            HttpContent content = (HttpContent) message;
+            dataBytes += content.content().readableBytes();
+            hasFailed |= content.decoderResult().isFailure();
+            isLast |= content instanceof LastHttpContent;
         }
         if (bodyBytes - dataBytes > MIN_FRAMING_LIMIT + MAX_FRAMING_PER_BYTE * dataBytes) {
-            removeFrom(out, first);
             throw new MalformedResponseException("framing-too-long");
         }
-        noteEnd(out, first);
+        if (chunks.isPresent() && !hasFailed) {
+            checkChunks(decoded, isLast, chunks.get());
+        }
+    }
+
+    /** Checks the grammar of chunks and trailers, of which the library's decoder accepts violations. */
+    private static void checkChunks(ByteBuf decoded, boolean isLast, ChunkDecoder chunks)
+            throws MalformedResponseException {
+        while (decoded.isReadable() && !chunks.isEnded() && !chunks.isMalformed()) {
+            int length = chunks.skipFraming(decoded);
+            if (length > 0) {
+                decoded.skipBytes(length);
+                chunks.dataRead(length);
+            }
+        }
+        if (decoded.isReadable() || chunks.isMalformed() || chunks.isEnded() != isLast) {
+            throw new MalformedResponseException("chunk-framing");
+        }
     }
 
-    private static boolean hasStatusLineInTrailers(List<Object> out, int first) {
+    private static boolean hasStatusLineInTrailers(List<Object> messages) {
         StatusLineMatcher matcher = new StatusLineMatcher();
-        return out.stream()
-                .skip(first)
+        return messages.stream()
                 .filter(LastHttpContent.class::isInstance)
                 .flatMap(last -> ((LastHttpContent) last).trailingHeaders().entries().stream())
                 .map(field -> field.getKey() + "\n" + field.getValue() + "\n")
--- a/gateway/src/test/java/org/citrontide/gateway/MalformedResponseTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/MalformedResponseTest.java
@@ -92,6 +92,30 @@
                         NOT_RUN_FIELD + CHUNKS));
     }
 
+    @Test
+    void responseWithAMalformedChunkHeaderIsBroken() throws IOException {
+        String size = Integer.toHexString(EVENT.length()) + "\r\n";
+        List<String> responses = Stream.of(";", ";=a", ";a ", ";a b")
+                .map(extension -> CHUNKED.replace(size, size.strip() + extension + "\r\n"))
+                .flatMap(chunked -> Stream.of(HEAD + chunked, HEAD + NOT_RUN_FIELD + chunked))
+                .toList();
+        checkBroken("chunk-framing", responses);
+    }
+
+    // The events of a stream are passed on before its trailers arrive.
+    @Test
+    void responseWithMalformedTrailersIsBroken() throws IOException {
+        addUpstream("a", this::respond);
+        addUpstream("b", this::respond);
+        for (String trailer : List.of("X : a", "X: a\r\n b")) {
+            for (String field : List.of("", NOT_RUN_FIELD)) {
+                malformed = HEAD + field + CHUNKED.replace("0\r\n\r\n", "0\r\n" + trailer + "\r\n\r\n");
+                checkNotRepeated("/book/" + arrivals.size());
+                checkRepeated("/look/" + arrivals.size());
+            }
+        }
+    }
+
     @Test
     void streamWhoseContinuationIsMalformedIsIncomplete() throws IOException {
         Script script = (r, reply) -> {
--- a/gateway/src/test/java/org/citrontide/gateway/caller/RequestDecoderTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/caller/RequestDecoderTest.java
@@ -154,9 +154,8 @@
     }
 
     // Guards against requests that other HTTP parsers delimit differently, and against other statuses than before.
-    // Three
-    // differences are allowed: a malformed field is rejected once its head is complete; a head that is then also too
-    // long gets 431 for its length; folded trailers and spaces within chunk extensions are rejected.
+    // Three differences are allowed: a malformed field is rejected once its head is complete; a head that is then also
+    // too long gets 431 for its length; folded trailers and blanks behind the value of a chunk extension are rejected.
     @Test
     void decodesAndRejectsLikeNettyWhateverThePieces() {
         int rejected = 0;
--- a/gateway/src/test/java/org/citrontide/gateway/http/ResponseGrammarTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/http/ResponseGrammarTest.java
@@ -171,6 +171,72 @@
         assertDecoded("rejected", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nown\r\n0\r\n\r\n");
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "3\r\nown\r\n0\r\n\r\n",
+                "1\r\no\r\n2\r\nwn\r\n000\r\n\r\n",
+                "00000000000000003\r\nown\r\n0\r\n\r\n",
+                "3;a\r\nown\r\n0;b=c\r\n\r\n",
+                "3;a=b;c=\"d \\\" e\"\r\nown\r\n0\r\n\r\n",
+                "3;a = b\r\nown\r\n0\r\n\r\n",
+                "3 ;\ta\t=\t\"b\"; c\r\nown\r\n0\r\n\r\n",
+                "3\r\nown\r\n0\r\nX: a\r\nY:\tb c\r\n\r\n"
+            })
+    void chunksAreAccepted(String body) {
+        assertDecoded("200 own complete", chunked(body));
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "\r\n",
+                "x\r\nown\r\n0\r\n\r\n",
+                " 3\r\nown\r\n0\r\n\r\n",
+                "3 \r\nown\r\n0\r\n\r\n",
+                "3 x\r\nown\r\n0\r\n\r\n",
+                "3\u0000x\r\nown\r\n0\r\n\r\n",
+                "+3\r\nown\r\n0\r\n\r\n",
+                "-3\r\nown\r\n0\r\n\r\n",
+                "0x3\r\nown\r\n0\r\n\r\n",
+                "3;\r\nown\r\n0\r\n\r\n",
+                "3;=b\r\nown\r\n0\r\n\r\n",
+                "3;a=\r\nown\r\n0\r\n\r\n",
+                "3;a \r\nown\r\n0\r\n\r\n",
+                "3;a b\r\nown\r\n0\r\n\r\n",
+                "3;a=\"b\r\nown\r\n0\r\n\r\n",
+                "3;a=\"b\"c\r\nown\r\n0\r\n\r\n",
+                "3;a\u0000\r\nown\r\n0\r\n\r\n",
+                "3\nown\r\n0\r\n\r\n",
+                "3\rown\r\n0\r\n\r\n",
+                "100000003\r\nown\r\n0\r\n\r\n",
+                "10000000000000003\r\nown\r\n0\r\n\r\n",
+                "80000000\r\nown\r\n0\r\n\r\n"
+            })
+    void malformedChunkHeaderIsRejected(String body) {
+        assertDecoded("200 rejected", chunked(body));
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "3\r\nown\n0\r\n\r\n",
+                "3\r\nown0\r\n\r\n",
+                "3\r\nowner\r\n0\r\n\r\n",
+                "3\r\nown\r0\r\n\r\n",
+                "3\r\nown\r\n0\r\n\n",
+                "3\r\nown\r\n0\r\nX : a\r\n\r\n",
+                "3\r\nown\r\n0\r\nX\u0000: a\r\n\r\n",
+                "3\r\nown\r\n0\r\nX: a\u0000\r\n\r\n",
+                "3\r\nown\r\n0\r\nX: a\n\r\n",
+                "3\r\nown\r\n0\r\nX: a\r\n b\r\n\r\n",
+                "3\r\nown\r\n0\r\nX\r\n\r\n",
+                "3\r\nown\r\n0\r\n: a\r\n\r\n"
+            })
+    void malformedEndOfAChunkOrBodyIsRejected(String body) {
+        assertDecoded("200 own rejected", chunked(body));
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"204 No Content", "304 Not Modified"})
     void statusWithoutABodyEndsWithItsHead(String status) {
@@ -189,6 +255,10 @@
         return "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + value + "\r\n\r\n3\r\nown\r\n0\r\n\r\n";
     }
 
+    private static String chunked(String body) {
+        return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + body;
+    }
+
     /** Checks what is decoded of a response, whose reason for a rejection may be left out, however it arrives. */
     private static void assertDecoded(String expected, String text) {
         String whole = decode(List.of(text));
--- a/gateway/src/test/java/org/citrontide/gateway/store/PlatformClientMalformedResponseTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/store/PlatformClientMalformedResponseTest.java
@@ -56,6 +56,20 @@
                 + Integer.toHexString(BODY.length()) + "\r\n" + BODY + "\r\n0\r\n\r\n");
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Content-Length : 2\r\nContent-Length: 2\r\n\r\n{}",
+                "X\u0000: a\r\nContent-Length: 2\r\n\r\n{}",
+                "Transfer-Encoding: gzip, chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+                "Transfer-Encoding: identity\r\nContent-Length: 2\r\n\r\n{}",
+                "Transfer-Encoding: chunked\r\n\r\n2;=a\r\n{}\r\n0\r\n\r\n",
+                "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nX : a\r\n\r\n"
+            })
+    void responseWithMalformedFieldsOrFramingAnswersNoCall(String rest) throws Exception {
+        checkFailed("HTTP/1.1 200 OK\r\n" + rest);
+    }
+
     // A refused order was not carried out; after a malformed response it may have been.
     @Test
     void orderWithAMalformedResponseIsUnansweredInsteadOfRefused() throws Exception {
