Reject malformed responses in the sidecar and the store client

The client of the own store protocol took coded bytes for a value, and a write for one that certainly had no effect if a 429 with such a body answered it.

Cause: UpstreamCall and StoreClient trust Jetty's client, which rejects status codes below 100 and malformed fields, but takes the rest.

Change: ResponseCheck aborts a response as it begins if its status code is not 100 to 599, and at a Transfer-Encoding other than chunked, before any listener gets its head. An aborted call ends as one that may have run, a read as failed, a write as uncertain, and its connection is closed.

Evidence, x86_64. Before: UpstreamCallTest, 600, 799, 999 and two codings "Answered"; StoreClientTest 2 of 8. After: 55 and 9 of 9 pass. Handled before, tests kept: codes below 100, 16 malformed fields, lengths, seven other codings and seven malformed chunks.

--- a/sidecar/src/main/java/org/citrontide/sidecar/upstream/UpstreamCall.java
+++ b/sidecar/src/main/java/org/citrontide/sidecar/upstream/UpstreamCall.java
@@ -8,6 +8,7 @@
 import org.citrontide.core.claim.StoredResponse;
 import org.citrontide.core.gate.CallOutcome;
 import org.citrontide.core.verdict.Reason;
+import org.citrontide.store.client.ResponseCheck;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
@@ -64,6 +65,7 @@
             }
             isSendStarted.set(true);
         });
+        ResponseCheck.addTo(newRequest);
         newRequest.onResponseHeaders(this::handleHead);
         newRequest.onResponseContentSource((response, source) -> readAnswer(source));
         newRequest.send(this::handleEnd);
--- /dev/null
+++ b/store/src/main/java/org/citrontide/store/client/ResponseCheck.java
@@ -0,0 +1,56 @@
+package org.citrontide.store.client;
+
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
+
+/**
+ * Rejects responses that the HTTP client accepts although they violate the grammar of HTTP or have a transfer coding
+ * that it doesn't remove.
+ *
+ * <p>Invariant: the request of a rejected response fails before the head is passed to its listeners, and the connection
+ * is closed. Stateless and thread-safe.
+ */
+public final class ResponseCheck {
+    private static final int MIN_STATUS = 100;
+    private static final int MAX_STATUS = 599;
+
+    private ResponseCheck() {}
+
+    /**
+     * Adds the check to a request that was not sent yet.
+     *
+     * @param request the request
+     * @return the same request
+     */
+    public static Request addTo(Request request) {
+        return request.onResponseBegin(ResponseCheck::checkStatus).onResponseHeader(ResponseCheck::checkField);
+    }
+
+    private static void checkStatus(Response response) {
+        int status = response.getStatus();
+        if (status < MIN_STATUS || status > MAX_STATUS) {
+            response.abort(new MalformedResponseException("status code " + status));
+        }
+    }
+
+    private static boolean checkField(Response response, HttpField field) {
+        boolean isUnknownCoding =
+                field.getHeader() == HttpHeader.TRANSFER_ENCODING && !HttpHeaderValue.CHUNKED.is(field.getValue());
+        if (isUnknownCoding) {
+            response.abort(new MalformedResponseException("transfer coding " + field.getValue()));
+        }
+        return !isUnknownCoding;
+    }
+
+    /** Tells why a response was rejected. */
+    private static final class MalformedResponseException extends Exception {
+        private static final long serialVersionUID = 1;
+
+        private MalformedResponseException(String reason) {
+            super("malformed response, " + reason, null, false, false);
+        }
+    }
+}
--- a/store/src/main/java/org/citrontide/store/client/StoreClient.java
+++ b/store/src/main/java/org/citrontide/store/client/StoreClient.java
@@ -133,7 +133,8 @@
         int index = preferredAddressIndex.get();
         InetSocketAddress address = addresses.get(index % addresses.size());
         AtomicBoolean requestStarted = new AtomicBoolean();
-        Request request = client.newRequest("http://" + address.getHostString() + ":" + address.getPort() + path)
+        Request request = ResponseCheck.addTo(
+                        client.newRequest("http://" + address.getHostString() + ":" + address.getPort() + path))
                 .method(method)
                 .timeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
                 .onRequestBegin(r -> requestStarted.set(true));
