Skip interim responses of upstreams in the sidecar

Cause: HttpClients removed all protocol handlers of Jetty's client, so that it follows no redirects; those that skip interim responses went with them.

Change: the three handlers of interim responses stay. Any other 1xx, a 101 that no request asked for, and a second 100, all of which the client would take for the response, are rejected like a malformed one.

--- a/sidecar/src/test/java/org/citrontide/sidecar/upstream/UpstreamCallTest.java
+++ b/sidecar/src/test/java/org/citrontide/sidecar/upstream/UpstreamCallTest.java
@@ -53,6 +53,37 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "100 Continue",
+                "102 Processing",
+                "103 Early Hints",
+                "100 Continue\r\n\r\nHTTP/1.1 103 Early Hints",
+                "103 Early Hints\r\n\r\nHTTP/1.1 103 Early Hints"
+            })
+    void interimResponseIsSkipped(String status) throws Exception {
+        String response = "HTTP/1.1 " + status + "\r\nX: a\r\n\r\nHTTP/1.1 200 OK\r\n" + SIZED;
+        try (FakeHttpUpstream upstream = new FakeHttpUpstream("a", (r, reply) -> respond(reply, response))) {
+            Received received = call(upstream);
+            assertEquals("200 own", received.text.toString());
+            assertInstanceOf(CallOutcome.Answered.class, received.outcome.join());
+        }
+    }
+
+    // Jetty's client doesn't skip these, and would wait for the end of their content.
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "101 Switching Protocols",
+                "104 Interim",
+                "199 Interim",
+                "100 Continue\r\n\r\nHTTP/1.1 100 Continue"
+            })
+    void unknownInterimResponseIsLost(String status) throws Exception {
+        checkNothingPassedOn("HTTP/1.1 " + status + "\r\n\r\nHTTP/1.1 200 OK\r\n" + SIZED);
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"000", "001", "099", "600", "799", "999", "20", "2000", "2x0"})
     void responseWithAnInvalidStatusCodeIsLost(String code) throws Exception {
--- a/store/src/main/java/org/citrontide/store/client/HttpClients.java
+++ b/store/src/main/java/org/citrontide/store/client/HttpClients.java
@@ -2,7 +2,10 @@
 
 import java.io.IOException;
 
+import org.eclipse.jetty.client.ContinueProtocolHandler;
+import org.eclipse.jetty.client.EarlyHintsProtocolHandler;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.ProcessingProtocolHandler;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -15,7 +18,8 @@
     private HttpClients() {}
 
     /**
-     * Starts a client that doesn't follow redirects and doesn't decode content.
+     * Starts a client that skips interim responses (100, 102 and 103), doesn't follow redirects and doesn't decode
+     * content.
      *
      * @param name name prefix of the client's threads
      * @param maxThreads maximum number of threads
@@ -47,6 +51,9 @@
             throw new IOException("HTTP client failed to start", e);
         }
         client.getProtocolHandlers().clear();
+        client.getProtocolHandlers().put(new ContinueProtocolHandler());
+        client.getProtocolHandlers().put(new ProcessingProtocolHandler());
+        client.getProtocolHandlers().put(new EarlyHintsProtocolHandler());
         return client;
     }
 }
--- a/store/src/main/java/org/citrontide/store/client/ResponseCheck.java
+++ b/store/src/main/java/org/citrontide/store/client/ResponseCheck.java
@@ -14,7 +14,8 @@
  * is closed. Stateless and thread-safe.
  */
 public final class ResponseCheck {
-    private static final int MIN_STATUS = 100;
+    // Interim responses that the client knows are skipped; any other would be taken for the only response.
+    private static final int MIN_STATUS = 200;
     private static final int MAX_STATUS = 599;
 
     private ResponseCheck() {}
