Believe the head of a response only once its body proves sound

What callers would see: two upstreams each answered with "Server-Limit: 0.1" in a head whose body broke the grammar of chunks. The response was discarded, but its limit was kept, so that the retry of a safe request was refused, 502 instead of the other upstream's response.

Cause: UpstreamConnection reported a head, with the upstream's limit and the time for which it stays cold, as soon as it was decoded.

Change: the head is reported before the first bytes of a streamed response, and at the end of any other, which is right before its outcome. A response that is cut off or dropped leaves none of these either.

Evidence, x86_64. MalformedResponseTest now sends the limit in each malformed response. Before: 2 of 7 tests failed (malformed chunk header on the streaming route, malformed trailers on the safe one), 502 instead of 200; the five with malformed heads passed. After: 7 of 7; so do UpstreamLimitTest, ColdUpstreamTest, FaultyUpstreamTest and HeldUpstreamTest.

--- a/gateway/src/main/java/org/citrontide/gateway/upstream/AttemptListener.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/AttemptListener.java
@@ -6,7 +6,8 @@
 public interface AttemptListener {
 
     /**
-     * Handles the head of a response.
+     * Handles the head of a response. Called once, before the first bytes of a streamed response or the end of any
+     * other, so that nothing is taken from the head of a response whose body turns out to be broken.
      *
      * @param attempt the attempt, whose head is present
      */
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/UpstreamConnection.java
@@ -36,14 +36,15 @@
  *
  * <p>Invariants: a response begins with bytes that were not there when its request was sent, because a connection on
  * which anything else arrived after a response is closed; a response that is not well-formed, or that follows an
- * irregularity, fails the attempt as one that may have run; a response that echoes the ID of another attempt is
- * skipped; a response without an ID is taken only as the first one of a connection, because a later one may repeat the
- * response to an earlier request; a response without an attempt in flight closes the connection; a response whose end
- * is decoded after the channel was closed is incomplete, because the channel stays open when the upstream ends the
- * connection (half-closure) and is closed by a reset or the gateway itself; after a failed write only a response with a
- * length can be complete, because the write consumes the error of the socket and a reset then reads like an end; a
- * connection is reused only once its request is written; an attempt that is given up without the head of a response
- * leaves no bytes to be delivered later. Not thread-safe: owned by the event loop.
+ * irregularity, fails the attempt as one that may have run, and its head is not reported unless a part of its body was
+ * passed on; a response that echoes the ID of another attempt is skipped; a response without an ID is taken only as the
+ * first one of a connection, because a later one may repeat the response to an earlier request; a response without an
+ * attempt in flight closes the connection; a response whose end is decoded after the channel was closed is incomplete,
+ * because the channel stays open when the upstream ends the connection (half-closure) and is closed by a reset or the
+ * gateway itself; after a failed write only a response with a length can be complete, because the write consumes the
+ * error of the socket and a reset then reads like an end; a connection is reused only once its request is written; an
+ * attempt that is given up without the head of a response leaves no bytes to be delivered later. Not thread-safe: owned
+ * by the event loop.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
     private static final EventLog LOG = EventLog.of(UpstreamConnection.class);
@@ -69,6 +70,7 @@
     private boolean skippingResponse;
     private boolean hasSkippedResponse;
     private boolean isFramed;
+    private boolean isHeadReported;
     private boolean keepAlive;
     private boolean requestWritten;
     private boolean writeFailed;
@@ -267,7 +269,7 @@
         isFramed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
         keepAlive = HttpUtil.isKeepAlive(response) && isFramed && !hasSkippedResponse;
         updateKeepAlive(response);
-        pool.listener().headReceived(attempt);
+        isHeadReported = false;
     }
 
     /** Fails the attempt: the response may belong to an earlier request, and the attempt may run or have run. */
@@ -305,6 +307,7 @@
 
     private void handleData(UpstreamAttempt attempt, byte[] data) {
         if (attempt.isStreamed()) {
+            reportHead(attempt);
             pool.listener().dataReceived(attempt, data);
             return;
         }
@@ -314,6 +317,13 @@
         }
     }
 
+    private void reportHead(UpstreamAttempt attempt) {
+        if (!isHeadReported) {
+            isHeadReported = true;
+            pool.listener().headReceived(attempt);
+        }
+    }
+
     /** Fails the attempt because its response is too large to be kept. */
     void dropResponse() {
         current.ifPresent(attempt -> LOG.warn("response-dropped")
@@ -342,6 +352,7 @@
         } else {
             channel.close();
         }
+        reportHead(attempt);
         pool.listener()
                 .attemptEnded(
                         attempt, ResponseClassifier.classify(attempt.head().orElseThrow()));
--- a/gateway/src/test/java/org/citrontide/gateway/MalformedResponseTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/MalformedResponseTest.java
@@ -20,8 +20,9 @@
 /** Tests a gateway over sockets with upstreams whose first response to each request violates the grammar of HTTP. */
 final class MalformedResponseTest extends GatewayHarness {
     private static final String MARK = "malformed";
-    private static final String FIELDS =
-            "Citrontide-Attempt-Id: %s\r\nCitrontide-Response-Stamp: " + MARK + "\r\nKeep-Alive: timeout=5\r\n";
+    // A limit that is believed keeps the next requests from their upstream.
+    private static final String FIELDS = "Citrontide-Attempt-Id: %s\r\nCitrontide-Response-Stamp: " + MARK
+            + "\r\nKeep-Alive: timeout=5\r\nServer-Limit: 0.1\r\n";
     private static final String NOT_RUN_FIELD = "Citrontide-Not-Executed: 1\r\n";
     private static final String EVENT = "id: 1\ndata: " + MARK + "\n\n";
     private static final String SIZED = "Content-Length: " + EVENT.length() + "\r\n\r\n" + EVENT;
