Reject responses of another HTTP version in the sidecar and the store client

Cause: Jetty's client takes any version that it knows, also where the connection carries HTTP/1. ResponseCheck accepts HTTP/1.0 and 1.1.

Evidence, x86_64. UpstreamCallTest with 15 malformed status lines: before, three were "Answered": HTTP/2.0, two blanks before the status code, and http in lower case. After, 77 of 77 pass with HTTP/2.0 among them. Two blanks are no fault: RFC 9112, section 4, lets a recipient parse them; the test has 13 lines now. Lower case can't be seen behind the client and joins the known red case (7 of 7 forms fail there).

--- a/store/src/main/java/org/citrontide/store/client/ResponseCheck.java
+++ b/store/src/main/java/org/citrontide/store/client/ResponseCheck.java
@@ -5,6 +5,7 @@
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.http.HttpVersion;
 
 /**
  * Rejects responses that the HTTP client accepts although they violate the grammar of HTTP or have a transfer coding
@@ -27,12 +28,15 @@
      * @return the same request
      */
     public static Request addTo(Request request) {
-        return request.onResponseBegin(ResponseCheck::checkStatus).onResponseHeader(ResponseCheck::checkField);
+        return request.onResponseBegin(ResponseCheck::checkStatusLine).onResponseHeader(ResponseCheck::checkField);
     }
 
-    private static void checkStatus(Response response) {
+    private static void checkStatusLine(Response response) {
+        HttpVersion version = response.getVersion();
         int status = response.getStatus();
-        if (status < MIN_STATUS || status > MAX_STATUS) {
+        if (version != HttpVersion.HTTP_1_0 && version != HttpVersion.HTTP_1_1) {
+            response.abort(new MalformedResponseException("version " + version));
+        } else if (status < MIN_STATUS || status > MAX_STATUS) {
             response.abort(new MalformedResponseException("status code " + status));
         }
     }
