Name a malformed response in the sidecar as a broken answer

Cause: UpstreamCall told the two apart by whether it had seen a status. It now also takes a failure of the HTTP client that names the response for a broken answer, and ResponseCheck fails with the same type as the client's own parser.

--- a/sidecar/src/main/java/org/citrontide/sidecar/upstream/UpstreamCall.java
+++ b/sidecar/src/main/java/org/citrontide/sidecar/upstream/UpstreamCall.java
@@ -9,6 +9,7 @@
 import org.citrontide.core.gate.CallOutcome;
 import org.citrontide.core.verdict.Reason;
 import org.citrontide.store.client.ResponseCheck;
+import org.eclipse.jetty.client.HttpResponseException;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
@@ -161,7 +162,8 @@
                     : Optional.empty();
             listener.callEnded(new CallOutcome.Answered(status, length, answer));
         } else if (isSendStarted.get()) {
-            listener.callEnded(new CallOutcome.AnswerLost(status == 0 ? Reason.CONNECTION_LOST : Reason.ANSWER_BROKEN));
+            boolean isBroken = status != 0 || result.getFailure() instanceof HttpResponseException;
+            listener.callEnded(new CallOutcome.AnswerLost(isBroken ? Reason.ANSWER_BROKEN : Reason.CONNECTION_LOST));
         } else if (result.getFailure() instanceof StartTooLateException) {
             listener.callEnded(new CallOutcome.NeverSent(Reason.DEADLINE));
         } else {
--- a/sidecar/src/test/java/org/citrontide/sidecar/upstream/UpstreamCallTest.java
+++ b/sidecar/src/test/java/org/citrontide/sidecar/upstream/UpstreamCallTest.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.citrontide.core.gate.CallOutcome;
+import org.citrontide.core.verdict.Reason;
 import org.citrontide.fakes.platform.FakeHttpUpstream;
 import org.citrontide.store.client.HttpClients;
 import org.eclipse.jetty.client.HttpClient;
@@ -204,7 +205,8 @@
         closedConnections.set(0);
         try (FakeHttpUpstream upstream = new FakeHttpUpstream("a", (r, reply) -> respond(reply, response))) {
             Received received = call(upstream);
-            assertInstanceOf(CallOutcome.AnswerLost.class, received.outcome.join(), received.text.toString());
+            CallOutcome lost = new CallOutcome.AnswerLost(Reason.ANSWER_BROKEN);
+            assertEquals(lost, received.outcome.join(), received.text.toString());
             long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
             while (closedConnections.get() == 0) {
                 assertTrue(System.nanoTime() < deadline, "the connection is still open");
--- a/store/src/main/java/org/citrontide/store/client/ResponseCheck.java
+++ b/store/src/main/java/org/citrontide/store/client/ResponseCheck.java
@@ -1,5 +1,6 @@
 package org.citrontide.store.client;
 
+import org.eclipse.jetty.client.HttpResponseException;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.http.HttpField;
@@ -11,8 +12,8 @@
  * Rejects responses that the HTTP client accepts although they violate the grammar of HTTP or have a transfer coding
  * that it doesn't remove.
  *
- * <p>Invariant: the request of a rejected response fails before the head is passed to its listeners, and the connection
- * is closed. Stateless and thread-safe.
+ * <p>Invariant: the request of a rejected response fails with an {@link HttpResponseException} before the head is passed
+ * to its listeners, and the connection is closed. Stateless and thread-safe.
  */
 public final class ResponseCheck {
     // Interim responses that the client knows are skipped; any other would be taken for the only response.
@@ -35,9 +36,9 @@
         HttpVersion version = response.getVersion();
         int status = response.getStatus();
         if (version != HttpVersion.HTTP_1_0 && version != HttpVersion.HTTP_1_1) {
-            response.abort(new MalformedResponseException("version " + version));
+            reject(response, "version " + version);
         } else if (status < MIN_STATUS || status > MAX_STATUS) {
-            response.abort(new MalformedResponseException("status code " + status));
+            reject(response, "status code " + status);
         }
     }
 
@@ -45,17 +46,12 @@
         boolean isUnknownCoding =
                 field.getHeader() == HttpHeader.TRANSFER_ENCODING && !HttpHeaderValue.CHUNKED.is(field.getValue());
         if (isUnknownCoding) {
-            response.abort(new MalformedResponseException("transfer coding " + field.getValue()));
+            reject(response, "transfer coding " + field.getValue());
         }
         return !isUnknownCoding;
     }
 
-    /** Tells why a response was rejected. */
-    private static final class MalformedResponseException extends Exception {
-        private static final long serialVersionUID = 1;
-
-        private MalformedResponseException(String reason) {
-            super("malformed response, " + reason, null, false, false);
-        }
+    private static void reject(Response response, String reason) {
+        response.abort(new HttpResponseException("malformed response, " + reason, response));
     }
 }
