--- a/gateway/src/test/java/org/citrontide/gateway/http/ResponseGrammarTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/http/ResponseGrammarTest.java
@@ -41,6 +41,7 @@
             strings = {
                 "HTTP/1.1 200 OK",
                 "HTTP/1.0 200 OK",
+                "HTTP/1.7 200 OK",
                 "HTTP/1.1 200 ",
                 "HTTP/1.1 200",
                 "HTTP/1.1 200 \tOK  then",
@@ -187,6 +188,12 @@
         assertDecoded("200 own complete", chunked(body));
     }
 
+    // In the grammar, but the library's decoder rejects it.
+    @Test
+    void blankBehindTheValueOfAChunkExtensionIsRejected() {
+        assertDecoded("200 rejected", chunked("3;a=b ;c\r\nown\r\n0\r\n\r\n"));
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {
--- a/store/src/main/java/org/citrontide/store/client/ResponseCheck.java
+++ b/store/src/main/java/org/citrontide/store/client/ResponseCheck.java
@@ -12,8 +12,8 @@
  * Rejects responses that the HTTP client accepts although they violate the grammar of HTTP or have a transfer coding
  * that it doesn't remove.
  *
- * <p>Invariant: the request of a rejected response fails with an {@link HttpResponseException} before the head is passed
- * to its listeners, and the connection is closed. Stateless and thread-safe.
+ * <p>Invariant: the request of a rejected response fails with an {@link HttpResponseException} before the head is
+ * passed to its listeners, and the connection is closed. Stateless and thread-safe.
  */
 public final class ResponseCheck {
     // Interim responses that the client knows are skipped; any other would be taken for the only response.
