--- a/gateway/src/main/java/org/citrontide/gateway/http/ResponseDecoder.java
+++ b/gateway/src/main/java/org/citrontide/gateway/http/ResponseDecoder.java
@@ -40,9 +40,9 @@
     // Chunks of one byte without an extension have five bytes of framing.
     private static final int MAX_FRAMING_PER_BYTE = 8;
     private static final int MIN_FRAMING_LIMIT = 64 * 1024;
-
     // Above the limits of Netty's decoder for a line and for all trailers.
     private static final int MAX_CHUNK_LINE_BYTES = 16 * 1024;
+
     private static final String CHUNKED = HttpHeaderValues.CHUNKED.toString();
 
     private final List<String> singleFields;
