--- a/review/rig-3/MapPlay.java
+++ b/review/rig-3/MapPlay.java
@@ -22,20 +22,12 @@
      */
     record Times(int silentMs, int lateHoldMs, int quietMs, int unarmedMs, int lateGoMs) {}
 
-    // The sizes of the model service of ditchline-grown, with fewer sets and slower copies.
-    private static final int RANKS = 72;
-    private static final int SETS = 2;
-    private static final int EXPERTS = 144;
-    private static final int EXPERT_MB = 3500;
-    private static final int LINK_MBPS = 100_000;
-    private static final int COPY_MS_PER_EXPERT = EXPERT_MB * 8 * 1000 / LINK_MBPS;
     private static final int CALLERS = 144;
     private static final int EVENTS = 4;
     private static final int NORMAL_CHANGES = 2;
     private static final int TOPIC_MS = 4_000;
     private static final int EXPERTS_PER_TOPIC = 5;
     private static final int LATE_ARM_MS = 3_000;
-    private static final int HEARTBEAT_MS = 1_200;
     private static final int PLAY_MS = 60_000;
     // The play ends this long after the group was armed for the held pass.
     private static final int AFTER_ARMING_MS = 8_000;
@@ -84,14 +76,13 @@
 
     private int play(Path root, Path folder) throws Exception {
         try (Store store = new Store();
-                Group ranks = new Group(RANKS, SETS, EXPERTS, COPY_MS_PER_EXPERT, this::decide, new Recorder());
+                Group ranks = ModelService.createGroup(this::decide, new Recorder());
                 Rig.Gateway gateway = new Rig.Gateway(root, folder, "front-1", store.port())) {
             group = ranks;
-            store.put("op/config", configuration());
-            writeEntries(store, 1);
+            store.put("op/config", ModelService.configuration(1, ModelService.USUAL_ANSWER));
+            ModelService.register(group, store);
             callers = new Callers(gateway.callerPort, "/chat/x?n=" + EVENTS, record);
             gateway.awaitReady();
-            Thread.ofVirtual().start(() -> sendHeartbeats(store));
             callers.setAsking(true);
             callers.start(CALLERS);
             boolean isPlayed = playPhases() || isBroken;
@@ -101,19 +92,6 @@
         }
     }
 
-    private void sendHeartbeats(Store store) {
-        for (int beat = 2; true; beat++) {
-            Rig.sleep(HEARTBEAT_MS);
-            writeEntries(store, beat);
-        }
-    }
-
-    private void writeEntries(Store store, int beat) {
-        for (int r = 0; r < RANKS; r++) {
-            store.put("servers/" + group.id(r), group.entry(r, "svc", beat));
-        }
-    }
-
     /** Returns whether the phases were reached that the case is about. */
     private boolean playPhases() {
         long start = System.nanoTime();
@@ -159,7 +137,7 @@
             return OptionalLong.of(operation.equals("hold") ? times.lateHoldMs() : times.lateGoMs());
         }
         boolean isUnarmed = armNanos != 0 && sinceMs(armNanos) < times.unarmedMs();
-        if (isUnarmed && rank == (holder + RANKS / 2) % RANKS && operation.equals("arm")) {
+        if (isUnarmed && rank == (holder + ModelService.RANKS / 2) % ModelService.RANKS && operation.equals("arm")) {
             return OptionalLong.of(LATE_ARM_MS);
         }
         return OptionalLong.empty();
@@ -186,21 +164,6 @@
         }
     }
 
-    private static String configuration() {
-        return """
-                {"version":7,"routes":[{"name":"r1","hostname":"h.example","prefix":"/chat/","kind":"streaming",\
-                "timeout_ms":8000,"target_latency_ms":403,"priority":0,"service":"svc","max_attempts":2,"public":true,\
-                "sticky":true,"can_resume":true,"target_gap_ms":120}],"services":[{"name":"svc",\
-                "health_check_path":"/health","max_connections":540,"protocol":"h1","tls":false,"engine":{"slots":8,\
-                "kv_capacity_tokens":217000,"kv_token_bytes":144384,"link_mbps":%d,"stride":6,"models":[{"name":"m"}],\
-                "step_ms":5.85,"per_seq_ms":0.5,"context_per_k":0.05,"read_per_s":61200.0,"pairs_per_m":0.325,\
-                "chunk":512,"report_lag_ms":200.0,"usual":{"prompt":835,"answer":139},"sets":%d,"experts":%d,\
-                "placements":3,"spare":2,"expert_mb":%d,"expert_share":0.85,"form_ms":600.0}}],\
-                "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,\
-                "idle_timeout_ms":15000}}"""
-                .formatted(LINK_MBPS, SETS, EXPERTS, EXPERT_MB);
-    }
-
     private final class Recorder implements Group.Listener {
         @Override
         public void orderReceived(int rank, String operation, long version, long step, int status) {
