--- a/review/rig-3/MapPlay.java
+++ b/review/rig-3/MapPlay.java
@@ -88,6 +88,7 @@
             boolean isPlayed = playPhases() || isBroken;
             record.line("orders " + orders + ", of these without an answer " + unanswered);
             record.line(isBroken ? "BROKEN: MAP, a pass began on two maps" : isPlayed ? "held" : "not played");
+            record.close();
             return isBroken ? Rig.EXIT_BROKEN : isPlayed ? Rig.EXIT_HELD : Rig.EXIT_NOT_PLAYED;
         }
     }
--- a/review/rig-3/ReusedVersion.java
+++ b/review/rig-3/ReusedVersion.java
@@ -67,6 +67,7 @@
             boolean isPlayed = changes > 1 || isBroken;
             record.line("orders " + orders + ", of these without an answer " + unanswered + ", changes " + changes);
             record.line(isBroken ? "BROKEN: MAP, a pass began on two maps" : isPlayed ? "held" : "not played");
+            record.close();
             return isBroken ? Rig.EXIT_BROKEN : isPlayed ? Rig.EXIT_HELD : Rig.EXIT_NOT_PLAYED;
         }
     }
