--- a/review/rig-3/MapPlay.java
+++ b/review/rig-3/MapPlay.java
@@ -76,20 +76,18 @@
 
     private int play(Path root, Path folder) throws Exception {
         try (Store store = new Store();
-                Group ranks = ModelService.createGroup(this::decide, new Recorder());
-                Rig.Gateway gateway = new Rig.Gateway(root, folder, "front-1", store.port())) {
+                Group ranks = ModelService.createGroup(this::decide, new Recorder())) {
             group = ranks;
-            store.put("op/config", ModelService.configuration(1, ModelService.USUAL_ANSWER));
-            ModelService.register(group, store);
-            callers = new Callers(gateway.callerPort, "/chat/x?n=" + EVENTS, record);
-            gateway.awaitReady();
-            callers.setAsking(true);
-            callers.start(CALLERS);
-            boolean isPlayed = playPhases() || isBroken;
-            record.line("orders " + orders + ", of these without an answer " + unanswered);
-            record.line(isBroken ? "BROKEN: MAP, a pass began on two maps" : isPlayed ? "held" : "not played");
-            record.close();
-            return isBroken ? Rig.EXIT_BROKEN : isPlayed ? Rig.EXIT_HELD : Rig.EXIT_NOT_PLAYED;
+            try (Rig.Gateway gateway = ModelService.startGateway(root, folder, store, ranks)) {
+                callers = new Callers(gateway.callerPort, "/chat/x?n=" + EVENTS, record);
+                callers.setAsking(true);
+                callers.start(CALLERS);
+                boolean isPlayed = playPhases() || isBroken;
+                record.end(
+                        "orders " + orders + ", of these without an answer " + unanswered,
+                        isBroken ? "BROKEN: MAP, a pass began on two maps" : isPlayed ? "held" : "not played");
+                return isBroken ? Rig.EXIT_BROKEN : isPlayed ? Rig.EXIT_HELD : Rig.EXIT_NOT_PLAYED;
+            }
         }
     }
 
--- a/review/rig-3/ModelService.java
+++ b/review/rig-3/ModelService.java
@@ -1,4 +1,5 @@
 import java.io.IOException;
+import java.nio.file.Path;
 
 /** The model service that the cases about expert maps play with: one group with a worker for each rank. */
 final class ModelService {
@@ -20,8 +21,15 @@
         return new Group(RANKS, SETS, EXPERTS, COPY_MS_PER_EXPERT, policy, listener);
     }
 
+    /** Starts a gateway before a store with the configuration and the entries of the workers. */
+    static Rig.Gateway startGateway(Path root, Path folder, Store store, Group group) throws IOException {
+        store.put("op/config", configuration(1, USUAL_ANSWER));
+        register(group, store);
+        return Rig.startGateway(root, folder, "front-1", store.port());
+    }
+
     /** Writes the entries of the workers, and again with each heartbeat. */
-    static void register(Group group, Store store) {
+    private static void register(Group group, Store store) {
         writeEntries(group, store, 1);
         Thread.ofVirtual().start(() -> {
             for (int beat = 2; true; beat++) {
--- a/review/rig-3/Record.java
+++ b/review/rig-3/Record.java
@@ -20,6 +20,14 @@
         out.flush();
     }
 
+    /** Writes the last lines. */
+    synchronized void end(String... lines) {
+        for (String l : lines) {
+            line(l);
+        }
+        out.close();
+    }
+
     @Override
     public synchronized void close() {
         out.close();
--- a/review/rig-3/ReusedVersion.java
+++ b/review/rig-3/ReusedVersion.java
@@ -45,10 +45,7 @@
     private int play(Path root, Path folder) throws Exception {
         try (Store store = new Store();
                 Group group = ModelService.createGroup(this::decide, new Recorder());
-                Rig.Gateway gateway = new Rig.Gateway(root, folder, "front-1", store.port())) {
-            store.put("op/config", ModelService.configuration(1, ModelService.USUAL_ANSWER));
-            ModelService.register(group, store);
-            gateway.awaitReady();
+                Rig.Gateway gateway = ModelService.startGateway(root, folder, store, group)) {
             Callers callers = new Callers(gateway.callerPort, "/chat/x?n=" + EVENTS, record);
             callers.setAsking(true);
             callers.start(CALLERS);
@@ -65,9 +62,9 @@
                 }
             }
             boolean isPlayed = changes > 1 || isBroken;
-            record.line("orders " + orders + ", of these without an answer " + unanswered + ", changes " + changes);
-            record.line(isBroken ? "BROKEN: MAP, a pass began on two maps" : isPlayed ? "held" : "not played");
-            record.close();
+            record.end(
+                    "orders " + orders + ", of these without an answer " + unanswered,
+                    isBroken ? "BROKEN: MAP, a pass began on two maps" : isPlayed ? "held" : "not played");
             return isBroken ? Rig.EXIT_BROKEN : isPlayed ? Rig.EXIT_HELD : Rig.EXIT_NOT_PLAYED;
         }
     }
--- a/review/rig-3/Rig.java
+++ b/review/rig-3/Rig.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /** A gateway process with the command of the deploy file, and helpers. */
@@ -19,7 +20,10 @@
     /** The case could not be played. */
     static final int EXIT_NOT_PLAYED = 2;
 
-    private static final long START_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(40);
+    private static final long START_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(20);
+    private static final int MAX_STARTS = 2;
+    private static final int MIN_PORT = 20_000;
+    private static final int MAX_PORT = 32_000;
 
     private Rig() {}
 
@@ -35,31 +39,46 @@
         return !"0".equals(System.getenv("TROUBLE"));
     }
 
-    static List<Integer> freePorts(int count) throws IOException {
-        List<ServerSocket> sockets = new ArrayList<>();
+    /** Returns free ports below those that the system gives to outgoing connections. */
+    static List<Integer> freePorts(int count) {
         List<Integer> ports = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
-            ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-            sockets.add(s);
-            ports.add(s.getLocalPort());
-        }
-        for (ServerSocket s : sockets) {
-            s.close();
+        while (ports.size() < count) {
+            int port = ThreadLocalRandom.current().nextInt(MIN_PORT, MAX_PORT);
+            try (ServerSocket s = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                if (!ports.contains(s.getLocalPort())) {
+                    ports.add(port);
+                }
+            } catch (IOException e) {
+                // The port is taken.
+            }
         }
         return ports;
     }
 
+    /** Starts a gateway and waits until it is ready; tries again if it ends, because a port was taken meanwhile. */
+    static Gateway startGateway(Path root, Path folder, String vm, int storePort) throws IOException {
+        for (int attempt = 1; true; attempt++) {
+            Gateway gateway = new Gateway(root, folder, vm, storePort);
+            if (gateway.awaitReady()) {
+                return gateway;
+            }
+            gateway.close();
+            Files.readAllLines(folder.resolve(vm + ".log")).forEach(System.err::println);
+            if (attempt == MAX_STARTS) {
+                throw new IllegalStateException("the gateway is not ready");
+            }
+        }
+    }
+
     /** A gateway process. */
     static final class Gateway implements AutoCloseable {
-        final String vm;
         final int callerPort;
         private final int adminPort;
         private final Process process;
 
         /** Starts a gateway; its settings and its log are in the given folder. */
-        Gateway(Path root, Path folder, String vm, int storePort) throws IOException {
+        private Gateway(Path root, Path folder, String vm, int storePort) throws IOException {
             List<Integer> ports = freePorts(3);
-            this.vm = vm;
             this.callerPort = ports.get(0);
             this.adminPort = ports.get(1);
             Path settings = folder.resolve(vm + ".toml");
@@ -96,18 +115,16 @@
             Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
         }
 
-        void awaitReady() {
+        /** Returns whether the gateway became ready. */
+        private boolean awaitReady() {
             long endNanos = System.nanoTime() + START_TIMEOUT_NANOS;
             while (!isReady()) {
                 if (!process.isAlive() || System.nanoTime() - endNanos > 0) {
-                    throw new IllegalStateException("the gateway is not ready");
+                    return false;
                 }
                 sleep(50);
             }
-        }
-
-        boolean isAlive() {
-            return process.isAlive();
+            return true;
         }
 
         private boolean isReady() {
--- a/review/rig-3/Store.java
+++ b/review/rig-3/Store.java
@@ -60,16 +60,6 @@
         notifyAll();
     }
 
-    synchronized void remove(String key) {
-        delete(key);
-    }
-
-    /** Returns the value of a key, or null. */
-    synchronized String get(String key) {
-        Item i = items.get(key);
-        return i == null ? null : new String(i.value(), StandardCharsets.UTF_8);
-    }
-
     @Override
     public void close() throws IOException {
         isClosed = true;
