Count a rank as armed only by its answer to an order for the held pass

Cause: GroupMapChange took a report that names the version of the change as the answer to an order to arm. A report doesn't name the pass. After a late hold, the change that takes over a held pass 81 finds ranks that are armed for pass 90; the one that left the new order unanswered was taken for armed, and pass 81 was released.

Ruled out: a lost order (the rank answers 1.5 s later), another epoch, two controllers.

Change: only answers confirm; an order that is repeated is answered again. HeldPassRecovery remembers the last switch that all ranks have confirmed in this term and whether an order of it went unanswered; the held pass is released without arming unless it is earlier and nothing of the switch can still be carried out. The log names the pass that ranks are known to be armed for, and whether orders went unanswered; before, "armed 72" fitted both hypotheses.

--- a/core/src/main/java/org/citrontide/core/expertmap/GroupMapChange.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/GroupMapChange.java
@@ -22,8 +22,9 @@
  * <ul>
  *   <li>A rank is armed only after every rank of the group has accepted the map and had the time to copy it, or has
  *       reported it as prepared.
- *   <li>The held pass is released only after every rank has confirmed that it is armed for it, or if no rank is armed
- *       or could be. No rank is ever disarmed.
+ *   <li>The held pass is released only after every rank has answered an order to arm it for this pass, or if no rank is
+ *       armed for it or could be. A report is no such answer: it names the version, but not the pass. No rank is ever
+ *       disarmed.
  * </ul>
  *
  * <p>Not thread-safe; it does no I/O and reads no clock.
@@ -79,6 +80,7 @@
     private long holdStep;
     private int refusedHolds;
     private boolean isArmedOnAll;
+    private boolean hasUnansweredArms;
 
     private GroupMapChange(
             List<String> ranks,
@@ -117,7 +119,10 @@
      * another controller's or an earlier one of this controller, for example if a hold order was carried out late.
      *
      * <p>Once a rank is armed, the change only goes forward: reports lag, and ranks that seem not to be armed may be,
-     * and the controller that started the change may still release the pass.
+     * and the controller that started the change may still release the pass. An exception are ranks that are known to
+     * be armed for another pass: the held one is then released without arming them for it, unless that is safe.
+     *
+     * @param pendingSwitch the switch that all ranks are known to be armed for, empty if it is not known
      */
     static GroupMapChange resume(
             List<String> ranks,
@@ -125,6 +130,7 @@
             PassEstimator passEstimator,
             RoundTimeEstimator roundTimeEstimator,
             GroupReports reports,
+            Optional<ArmedSwitch> pendingSwitch,
             EventContext context) {
         List<String> armed = reports.armedRanks(ranks);
         Optional<Long> preparedVersion = reports.preparedOnAll(ranks);
@@ -135,11 +141,16 @@
                 ranks, epoch, passEstimator, roundTimeEstimator, version, Optional.empty(), Duration.ZERO);
         c.holder = reports.holdingRanks(ranks).getFirst();
         c.holdStep = reports.of(c.holder).heldStep().orElseThrow();
+        boolean isArmedForOther =
+                pendingSwitch.filter(s -> !s.canMoveTo(c.holdStep)).isPresent();
         context.log(
                 "map-change-taken-over",
                 "version " + version + " pass " + c.holdStep + " armed " + armed.size() + " prepared on all "
-                        + preparedVersion.isPresent());
-        if (reports.mayBeArmed(ranks)) {
+                        + preparedVersion.isPresent() + " armed-for "
+                        + pendingSwitch
+                                .map(s -> s.step() + (s.mayRepeat() ? " with unanswered orders" : ""))
+                                .orElse("unknown"));
+        if (!isArmedForOther && reports.mayBeArmed(ranks)) {
             c.startArming(context);
         } else {
             c.enterState(State.RELEASING, List.of(c.holder), context);
@@ -161,6 +172,13 @@
         return holdStep;
     }
 
+    /** Returns the switch that all ranks have confirmed, empty if they have not. */
+    Optional<ArmedSwitch> armedSwitch() {
+        return isArmedOnAll
+                ? Optional.of(new ArmedSwitch(epoch, version, holdStep, hasUnansweredArms))
+                : Optional.empty();
+    }
+
     /** Returns whether this change may be holding the group. */
     boolean isHolding() {
         return switch (state) {
@@ -218,8 +236,9 @@
                 && r.prepared().getAsLong() == version) {
             completeOrder(id, context);
         }
-        if (state == State.ARMING) {
-            handleReportWhileArming(id, r, context);
+        if (state == State.ARMING && r.step() >= holdStep) {
+            context.log("map-change-ended-by-other", "version " + version + " pass " + holdStep);
+            state = State.ENDED;
         }
     }
 
@@ -233,6 +252,7 @@
             return;
         }
         if (outcome == OrderOutcome.UNANSWERED) {
+            hasUnansweredArms |= state == State.ARMING;
             orders.retry(id);
         } else if (outcome == OrderOutcome.REFUSED) {
             handleRefusal(id, context);
@@ -295,17 +315,6 @@
         }
     }
 
-    private void handleReportWhileArming(String id, RankReport report, EventContext context) {
-        if (report.step() >= holdStep) {
-            context.log("map-change-ended-by-other", "version " + version + " pass " + holdStep);
-            state = State.ENDED;
-            return;
-        }
-        if (orders.isPending(id) && report.armed().isPresent() && report.armed().getAsLong() == version) {
-            completeOrder(id, context);
-        }
-    }
-
     private void handleRefusal(String id, EventContext context) {
         switch (state) {
             case PREPARING -> {
@@ -342,7 +351,9 @@
             case HOLDING -> startArming(context);
             case ARMING -> {
                 isArmedOnAll = true;
-                context.log("map-change-armed", "version " + version + " pass " + holdStep);
+                context.log(
+                        "map-change-armed",
+                        "version " + version + " pass " + holdStep + " unanswered " + hasUnansweredArms);
                 enterState(State.RELEASING, List.of(holder), context);
             }
             case RELEASING -> state = isArmedOnAll && map.isPresent() ? State.IN_FORCE : State.ENDED;
--- a/core/src/main/java/org/citrontide/core/expertmap/GroupMapController.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/GroupMapController.java
@@ -72,7 +72,7 @@
     private int passWaits;
     private int failedReads;
     private long nextSpeedReadNanos;
-    private final HoldConfirmation holdConfirmation = new HoldConfirmation();
+    private final HeldPassRecovery heldPassRecovery = new HeldPassRecovery();
     // Reports read from this time on show all that the orders of the last change have caused.
     private long reportsValidNanos;
 
@@ -104,6 +104,7 @@
         switch (event) {
             case MapEvent.Elected e -> {
                 isElected = true;
+                heldPassRecovery.startTerm();
                 versions.startTerm(e.term());
             }
             case MapEvent.Deposed d -> handleDeposed(context);
@@ -257,14 +258,15 @@
         newestSeenEpoch = 0;
         adoptGroup(completeGroup.get(), context);
         if (!reports.holdingRanks(ranks).isEmpty()) {
-            if (holdConfirmation.mustReadAgain(ranks, reports, context.nowNanos())) {
+            if (heldPassRecovery.mustReadAgain(ranks, reports, context.nowNanos())) {
                 nextActionNanos = context.nowNanos() + GroupMapChange.REPORT_LAG.toNanos();
                 return;
             }
             enterPhase(Phase.CHANGING, context);
             next = Optional.empty();
+            Optional<ArmedSwitch> armed = heldPassRecovery.pendingSwitch(ranks, reports);
             change = Optional.of(
-                    GroupMapChange.resume(ranks, epoch, passEstimator, roundTimeEstimator, reports, context));
+                    GroupMapChange.resume(ranks, epoch, passEstimator, roundTimeEstimator, reports, armed, context));
             return;
         }
         Set<Long> versions = reports.versionsInForce(ranks);
@@ -477,6 +479,7 @@
             return;
         }
         change = Optional.empty();
+        heldPassRecovery.recordEnd(c);
         reportsValidNanos = context.nowNanos() + GroupMapChange.REPORT_LAG.toNanos();
         if (c.state() == GroupMapChange.State.ENDED) {
             startObserving(Duration.ZERO, context);
--- a/core/src/test/java/org/citrontide/core/expertmap/GroupMapChangeTest.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/GroupMapChangeTest.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 import org.junit.jupiter.api.Test;
@@ -34,6 +35,48 @@
         assertEquals(List.of(new MapAction.SendOrder("rank1", EPOCH, new RankOrder.Go(HELD_STEP))), orders(context));
     }
 
+    // Guards against a pass on two maps because the report of a rank that is armed for a later pass confirmed the held
+    // one.
+    @Test
+    void aHeldPassIsReleasedOnlyAfterEveryRankHasAnsweredAnOrderToArmIt() {
+        EventContext context = new EventContext(0);
+        GroupReports reports = reports(true, true, true, true);
+        GroupMapChange change = resume(reports, context);
+        RankOrder arm = new RankOrder.Arm(VERSION, HELD_STEP);
+        RANKS.subList(0, 3).forEach(r -> change.handleOutcome(r, arm, OrderOutcome.DONE, context));
+        change.handleOutcome("rank3", arm, OrderOutcome.UNANSWERED, context);
+        change.handleReport("rank3", Optional.of(reports.of("rank3")), context);
+        MapAction release = new MapAction.SendOrder("rank1", EPOCH, new RankOrder.Go(HELD_STEP));
+        assertFalse(orders(context).contains(release), "the report doesn't tell for which pass rank3 is armed");
+        change.handleOutcome("rank3", arm, OrderOutcome.DONE, context);
+        assertTrue(orders(context).contains(release));
+        assertEquals(Optional.of(new ArmedSwitch(EPOCH, VERSION, HELD_STEP, true)), change.armedSwitch());
+    }
+
+    @Test
+    void ranksThatAnEarlierOrderMayStillArmForAnotherPassAreNotArmedForTheHeldOne() {
+        assertFalse(isArmedForHeldPass(new ArmedSwitch(EPOCH, VERSION, HELD_STEP + 9, true)));
+        assertFalse(isArmedForHeldPass(new ArmedSwitch(EPOCH, VERSION, HELD_STEP, false)), "all are armed for it");
+        assertTrue(isArmedForHeldPass(new ArmedSwitch(EPOCH, VERSION, HELD_STEP + 9, false)));
+    }
+
+    @Test
+    void aConfirmedSwitchSaysNothingOfAnotherEpochVersionOrTerm() {
+        GroupReports reports = reports(true, true, true, true);
+        assertTrue(new ArmedSwitch(EPOCH, VERSION, HELD_STEP + 1, true).isPending(RANKS, reports));
+        assertFalse(new ArmedSwitch(EPOCH + 1, VERSION, HELD_STEP + 1, true).isPending(RANKS, reports));
+        assertFalse(new ArmedSwitch(EPOCH, VERSION + 1, HELD_STEP + 1, true).isPending(RANKS, reports));
+        assertFalse(new ArmedSwitch(EPOCH, VERSION, HELD_STEP - 1, true).isPending(RANKS, reports), "its pass started");
+        EventContext context = new EventContext(0);
+        GroupMapChange change = resume(reports, context);
+        RANKS.forEach(r -> change.handleOutcome(r, new RankOrder.Arm(VERSION, HELD_STEP), OrderOutcome.DONE, context));
+        HeldPassRecovery recovery = new HeldPassRecovery();
+        recovery.recordEnd(change);
+        assertTrue(recovery.pendingSwitch(RANKS, reports).isPresent());
+        recovery.startTerm();
+        assertTrue(recovery.pendingSwitch(RANKS, reports).isEmpty());
+    }
+
     @Test
     void reportsOfAHeldPassWithoutArmedRanksAreReadAgainUntilTheirLagHasPassed() {
         HoldConfirmation confirmation = new HoldConfirmation();
@@ -47,8 +90,20 @@
                 "arming is safe at any time");
     }
 
-    private static void resume(GroupReports reports, EventContext context) {
-        GroupMapChange.resume(RANKS, EPOCH, new PassEstimator(), new RoundTimeEstimator(), reports, context);
+    private static GroupMapChange resume(GroupReports reports, EventContext context) {
+        return resume(reports, Optional.empty(), context);
+    }
+
+    private static GroupMapChange resume(
+            GroupReports reports, Optional<ArmedSwitch> pendingSwitch, EventContext context) {
+        return GroupMapChange.resume(
+                RANKS, EPOCH, new PassEstimator(), new RoundTimeEstimator(), reports, pendingSwitch, context);
+    }
+
+    private static boolean isArmedForHeldPass(ArmedSwitch pendingSwitch) {
+        EventContext context = new EventContext(0);
+        resume(reports(true, true, true, true), Optional.of(pendingSwitch), context);
+        return orders(context).contains(new MapAction.SendOrder("rank0", EPOCH, new RankOrder.Arm(VERSION, HELD_STEP)));
     }
 
     private static List<MapAction> orders(EventContext context) {
--- a/core/src/test/java/org/citrontide/core/expertmap/GroupMapControllerTest.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/GroupMapControllerTest.java
@@ -78,6 +78,43 @@
         assertTrue(changes > 1000, changes + " map changes in total");
     }
 
+    // Guards against a pass on two maps because a rank that is armed for another pass counts as armed for a held one.
+    @Test
+    void startsNoPassOnTwoMapsWhileRanksOfAnIdleGroupLeaveOrdersUnanswered() {
+        int changes = 0;
+        for (long seed = 1; seed <= 160; seed++) {
+            changes += changesWithSilentRanks(seed, 1);
+            changes += changesWithSilentRanks(seed, 10 + (int) (seed % 11));
+        }
+        assertTrue(changes > 10_000, changes + " map changes in total");
+    }
+
+    /** Plays a group that is idle by turns and whose ranks leave orders unanswered; returns how often its map changed. */
+    private static int changesWithSilentRanks(long seed, int passTimeFactor) {
+        int shiftMs = 400 + (int) (seed % 4) * 200;
+        FakeGroup group =
+                new FakeGroup(LARGE_GROUP_RANKS, new HotExpertDemand(LARGE_GROUP_RANKS, LARGE_GROUP_EXPERTS, shiftMs));
+        MapControllerSimulation sim = new MapControllerSimulation(group, LARGE_GROUP_PROFILE, seed, 0, false);
+        sim.silenceRanks();
+        sim.runUntil(2_000);
+        group.setPassTimeFactor(passTimeFactor);
+        for (int untilMs = 3_000; untilMs <= MapControllerSimulation.FAULT_PERIOD_MS; untilMs += 500) {
+            group.setIdle((untilMs / 500 + seed) % 8 < 5);
+            sim.runUntil(untilMs);
+        }
+        group.setIdle(false);
+        group.setPassTimeFactor(1);
+        int recoveredMs =
+                MapControllerSimulation.FAULT_PERIOD_MS + MapControllerSimulation.MAX_LATE_MS + RECOVERY_PERIOD_MS;
+        sim.runUntil(recoveredMs);
+        long step = group.step();
+        sim.runUntil(recoveredMs + 1_000);
+        String play = "seed " + seed + ", passes longer by " + passTimeFactor;
+        assertEquals("", group.violation(), play);
+        assertTrue(group.step() > step, play + ": the group is still held");
+        return group.changes();
+    }
+
     @Test
     void duplicatedOrdersHoldTheGroupOnlyBriefly() {
         for (long seed = 1; seed <= 20; seed++) {
--- a/core/src/test/java/org/citrontide/core/expertmap/MapControllerSimulation.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/MapControllerSimulation.java
@@ -4,7 +4,9 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
@@ -19,6 +21,9 @@
     /** End of the time in ms in which faults are injected. */
     static final int FAULT_PERIOD_MS = 25_000;
 
+    /** Longest time in ms after which a rank carries out an order that it left unanswered. */
+    static final int MAX_LATE_MS = 12_000;
+
     private static final int LEASE_MS = 2_000;
     private static final int TICK_MS = 20;
     private static final int SEARCH_STEPS = 20;
@@ -26,6 +31,11 @@
     private static final int LINK_BYTES_PER_MS = 17500;
     private static final int SMALL_ORDER_BYTES = 60;
     private static final int BYTES_PER_EXPERT = 4;
+    private static final int MIN_SILENCE_MS = 1_500;
+    private static final int MAX_SILENCE_MS = 5_500;
+    private static final double HOLD_SILENCE_RATE = 0.25;
+    private static final double SILENCE_RATE = 0.004;
+    private static final int MIN_LATE_MS = 2_000;
 
     private final SplittableRandom random;
     private final double lossRate;
@@ -45,6 +55,8 @@
     private int countReads;
     private final List<String> decisions = new ArrayList<>();
     private boolean duplicatesOrders;
+    private boolean hasSilentRanks;
+    private final Map<Integer, Long> silentUntilMs = new HashMap<>();
     private long linkFreeMs;
     private int searchSteps = SEARCH_STEPS;
     private int reportDelayMs;
@@ -87,6 +99,11 @@
         duplicatesOrders = true;
     }
 
+    /** Lets single ranks leave all orders unanswered for seconds; they carry these out seconds later. */
+    void silenceRanks() {
+        hasSilentRanks = true;
+    }
+
     /** Delays the reports, so that counts which were read later overtake them. */
     void setReportDelayMs(int ms) {
         reportDelayMs = ms;
@@ -220,6 +237,13 @@
         OrderTimeouts timeouts = processes.get(process).orderTimeouts;
         long timeoutMs = timeouts.start(bytes).toMillis();
         MapEvent timeout = new MapEvent.OrderEnded(s.upstream(), s.order(), OrderOutcome.UNANSWERED);
+        if (isSilent(rank, s.order())) {
+            schedule(
+                    random.nextInt(MIN_LATE_MS, MAX_LATE_MS),
+                    () -> group.handleOrder(rank, s.epoch(), s.order(), nowMs));
+            scheduleTimeout(process, incarnation, timeoutMs, timeout, bytes);
+            return;
+        }
         if (!isLost()) {
             linkFreeMs = Math.max(nowMs, linkFreeMs) + bytes / LINK_BYTES_PER_MS;
             long delayMs = linkFreeMs + 1 - nowMs;
@@ -250,6 +274,18 @@
         scheduleTimeout(process, incarnation, timeoutMs, timeout, bytes);
     }
 
+    /** Returns whether a rank leaves an order unanswered. Ranks fall silent most often when they are to hold a pass. */
+    private boolean isSilent(int rank, RankOrder order) {
+        if (!hasSilentRanks || nowMs >= FAULT_PERIOD_MS) {
+            return false;
+        }
+        double rate = order instanceof RankOrder.Hold ? HOLD_SILENCE_RATE : SILENCE_RATE;
+        if (nowMs >= silentUntilMs.getOrDefault(rank, 0L) && random.nextDouble() < rate) {
+            silentUntilMs.put(rank, nowMs + random.nextInt(MIN_SILENCE_MS, MAX_SILENCE_MS));
+        }
+        return nowMs < silentUntilMs.getOrDefault(rank, 0L);
+    }
+
     private void scheduleTimeout(int process, int incarnation, long timeoutMs, MapEvent timeout, int bytes) {
         OrderTimeouts timeouts = processes.get(process).orderTimeouts;
         schedule(timeoutMs, () -> {
