Read the store anew after it has returned from an older copy of itself

Callers (users' runs, CONFIG, all eight gateways at once): requests were run by the old service seconds after a version had been acknowledged.

Cause: a watch from a revision that the store has reached again gets no 410, so what was written again below it is never seen. Store-Era was read nowhere.

Change: each response tells its era; a read that shows another one is dropped and all keys are read, positions are compared by era, then revision, and copies for peers name their era. An unreadable era is logged once; an implausible one shuts nobody out.

--- a/core/src/main/java/org/citrontide/core/gateway/MembershipView.java
+++ b/core/src/main/java/org/citrontide/core/gateway/MembershipView.java
@@ -80,6 +80,20 @@
         return begun;
     }
 
+    /**
+     * Records that the store has returned from an older copy of itself, which lacks the entries written since. To be
+     * called before the entries of the copy.
+     *
+     * @param nowNanos monotonic time in ns at which it served again
+     * @return the grace period that begins
+     */
+    public GracePeriod recordStoreReturn(long nowNanos) {
+        long endNanos = nowNanos + REREGISTRATION_GRACE.toNanos();
+        graceEndNanos = OptionalLong.of(endNanos);
+        writtenSinceOutage.clear();
+        return new GracePeriod(Duration.ZERO, endNanos);
+    }
+
     /**
      * Replaces all entries.
      *
--- a/fakes/src/main/java/org/citrontide/fakes/http/FakeServer.java
+++ b/fakes/src/main/java/org/citrontide/fakes/http/FakeServer.java
@@ -141,6 +141,16 @@
             return request.getMethod() + " " + Request.getPathInContext(request);
         }
 
+        /**
+         * Sets a header field of the reply.
+         *
+         * @param name name of the field
+         * @param value value of the field
+         */
+        public void setHeader(String name, String value) {
+            response.getHeaders().put(name, value);
+        }
+
         /**
          * Returns the request body.
          *
--- a/fakes/src/main/java/org/citrontide/fakes/platform/FakePlatformStore.java
+++ b/fakes/src/main/java/org/citrontide/fakes/platform/FakePlatformStore.java
@@ -5,8 +5,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Base64;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -25,7 +28,27 @@
     private static final long POLL_INTERVAL_MS = 5;
 
     /** A change of a key. The value is Base64, and empty if the key was removed. */
-    private record Change(String key, Optional<String> value, long revision, long lease) {}
+    record Change(String key, Optional<String> value, long revision, long lease) {}
+
+    /**
+     * A copy of the store, to which it can return. Immutable.
+     *
+     * @param items the items by key
+     * @param history the changes that a watch can still return
+     * @param revision revision of the store
+     * @param compactedRevision last revision whose history was discarded
+     * @param leases leases that have not ended
+     */
+    public record Snapshot(
+            Map<String, Change> items, List<Change> history, long revision, long compactedRevision, Set<Long> leases) {
+
+        /** Copies the collections. */
+        public Snapshot {
+            items = Map.copyOf(items);
+            history = List.copyOf(history);
+            leases = Set.copyOf(leases);
+        }
+    }
 
     /** Availability of the store. */
     public enum Mode {
@@ -46,6 +69,9 @@
     private long revision = 1;
     private long compactedRevision;
     private long lastLease;
+    private final Set<Long> leases = new HashSet<>();
+    private int era = 1;
+    private Optional<String> eraHeader = Optional.empty();
     private Mode mode = Mode.UP;
     private int readCount;
     private int maxPageItems = Integer.MAX_VALUE;
@@ -112,6 +138,51 @@
         history.clear();
     }
 
+    /**
+     * Returns a copy of the store.
+     *
+     * @return the copy
+     */
+    public synchronized Snapshot takeSnapshot() {
+        return new Snapshot(items, history, revision, compactedRevision, leases);
+    }
+
+    /**
+     * Returns to a copy, which begins a new era: what was written since is lost, leases too, and revisions are given
+     * out again. Pending calls are cut.
+     *
+     * @param copy the copy
+     */
+    public synchronized void restore(Snapshot copy) {
+        era++;
+        items.clear();
+        items.putAll(copy.items());
+        history.clear();
+        history.addAll(copy.history());
+        revision = copy.revision();
+        compactedRevision = copy.compactedRevision();
+        leases.clear();
+        leases.addAll(copy.leases());
+    }
+
+    /**
+     * Sets the text of the header field that names the era, instead of the number of the era.
+     *
+     * @param text the text, empty for the number of the era
+     */
+    public synchronized void setEraHeader(Optional<String> text) {
+        eraHeader = text;
+    }
+
+    /**
+     * Returns the revision of the last change.
+     *
+     * @return the revision
+     */
+    public synchronized long revision() {
+        return revision;
+    }
+
     /**
      * Limits the number of items on a page.
      *
@@ -139,6 +210,22 @@
     }
 
     private FakeServer.Reply serve(FakeServer.Call call) throws IOException, InterruptedException {
+        int eraAtStart = era();
+        FakeServer.Reply reply = serveInEra(call);
+        synchronized (this) {
+            if (era != eraAtStart) {
+                throw new IOException("the store has returned to a copy");
+            }
+            call.setHeader("Store-Era", eraHeader.orElse(Integer.toString(era)));
+            return reply;
+        }
+    }
+
+    private synchronized int era() {
+        return era;
+    }
+
+    private FakeServer.Reply serveInEra(FakeServer.Call call) throws IOException, InterruptedException {
         synchronized (this) {
             readCount += call.target().startsWith("GET ") ? 1 : 0;
             if (mode == Mode.REFUSING) {
@@ -187,7 +274,7 @@
         long deadlineNanos = System.nanoTime() + waitMs * 1_000_000;
         while (true) {
             synchronized (this) {
-                if (after < compactedRevision) {
+                if (after < compactedRevision || after > revision) {
                     return FakeServer.Reply.status(GONE);
                 }
                 List<Change> newChanges = history.stream()
@@ -226,16 +313,20 @@
     private synchronized FakeServer.Reply lease(String target) {
         if (target.equals("POST /-/kv-lease")) {
             lastLease++;
+            leases.add(lastLease);
             return FakeServer.Reply.json(mapper.createObjectNode()
                     .put("lease", lastLease)
                     .put("ttl_ms", 2000)
                     .toString());
         }
         if (target.startsWith("POST /-/kv-keep/")) {
-            return FakeServer.Reply.json("{\"ttl_ms\":2000}");
+            return leases.contains(leaseNumber(target))
+                    ? FakeServer.Reply.json("{\"ttl_ms\":2000}")
+                    : FakeServer.Reply.status(NOT_FOUND);
         }
         if (target.startsWith("DELETE /-/kv-lease-end/")) {
-            long endedLease = Long.parseLong(target.substring(target.lastIndexOf('/') + 1));
+            long endedLease = leaseNumber(target);
+            leases.remove(endedLease);
             items.values().stream()
                     .filter(c -> c.lease() == endedLease)
                     .map(Change::key)
@@ -246,6 +337,10 @@
         return FakeServer.Reply.status(NOT_FOUND);
     }
 
+    private static long leaseNumber(String target) {
+        return Long.parseLong(target.substring(target.lastIndexOf('/') + 1));
+    }
+
     private void write(String key, Optional<String> value, long lease) {
         revision++;
         Change c = new Change(key, value, revision, lease);
--- a/gateway/src/main/java/org/citrontide/gateway/store/PlatformClient.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/PlatformClient.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -35,7 +36,10 @@
 import org.citrontide.gateway.http.ProbedSocketChannel;
 import org.citrontide.gateway.http.ResponseDecoder;
 import org.citrontide.gateway.http.UnexpectedBytes;
+import org.citrontide.platform.DecodeException;
+import org.citrontide.platform.MetadataStore;
 import org.citrontide.platform.PlatformCall;
+import org.citrontide.platform.PlatformHeaders;
 import org.citrontide.runtime.eventloop.OutOfMemoryExit;
 import org.citrontide.runtime.log.EventLog;
 
@@ -67,6 +71,7 @@
     private final boolean isAlwaysAnswered;
     private final IdleConnections<Connection> idleConnections;
     private long callCount;
+    private boolean isUnreadableEraLogged;
 
     /**
      * Creates a client.
@@ -301,7 +306,26 @@
             } else {
                 channel.close();
             }
-            response.complete(new PlatformResponse(r.status().code(), ByteBufUtil.getBytes(r.content())));
+            response.complete(new PlatformResponse(r.status().code(), ByteBufUtil.getBytes(r.content()), storeEra(r)));
+        }
+
+        private OptionalLong storeEra(FullHttpResponse r) {
+            String value = r.headers().get(PlatformHeaders.STORE_ERA);
+            if (value == null) {
+                return OptionalLong.empty();
+            }
+            try {
+                return OptionalLong.of(MetadataStore.decodeEra(value));
+            } catch (DecodeException e) {
+                if (!isUnreadableEraLogged) {
+                    isUnreadableEraLogged = true;
+                    LOG.warn("store-era-unreadable")
+                            .with("address", address)
+                            .with("why", e.getMessage())
+                            .write();
+                }
+                return OptionalLong.empty();
+            }
         }
 
         /** Closes a connection that can't be read any more. */
--- a/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
@@ -34,7 +34,8 @@
  * listener ends neither the handling of other changes nor the watch; a change that is made while the pages are read is
  * seen by the watch that follows; a watch whose response is too large is replaced by a read of all pages, each of
  * which has a bounded size; the copy of a peer replaces nothing that is newer, and counts as service at the time it
- * was read. Not thread-safe: confined to the event loop.
+ * was read; after the store has returned from an older copy of itself, all keys are read anew, and no revision is
+ * compared with one from before. Not thread-safe: confined to the event loop.
  */
 public final class StoreMirror implements StoreReader.Listener {
     private static final EventLog LOG = EventLog.of(StoreMirror.class);
@@ -59,11 +60,11 @@
     private final Map<String, Item> copy = new TreeMap<>();
     private final List<InetSocketAddress> peers;
     private final Duration watchPause;
-    private Optional<Long> revision = Optional.empty();
+    private Optional<StorePosition> position = Optional.empty();
     private boolean isFullReadDue;
     private OptionalLong graceEndNanos = OptionalLong.empty();
     // Remains while a new full read is needed, so that the older copy of a peer replaces nothing.
-    private long newestRevision;
+    private StorePosition newestPosition = new StorePosition(0, 0);
     private long version;
 
     /**
@@ -105,7 +106,7 @@
      *     history from which the watch would continue
      */
     public boolean isLoaded() {
-        return revision.isPresent();
+        return position.isPresent();
     }
 
     /**
@@ -116,7 +117,8 @@
     public Optional<byte[]> page() {
         Duration age = reader.sinceLastResponse();
         boolean isFresh = reader.isAvailable() && age.compareTo(MAX_COPY_AGE) < 0;
-        return revision.filter(r -> isFresh).map(r -> MetadataStore.encodeCopy(copy.values(), r, age));
+        return position.filter(p -> isFresh)
+                .map(p -> MetadataStore.encodeCopy(copy.values(), p.revision(), p.era(), age));
     }
 
     /** Returns the pause between two watches that leaves enough of the limit for changes. */
@@ -126,10 +128,10 @@
     }
 
     private void readOrWatch() {
-        if (revision.isEmpty() || isFullReadDue) {
+        if (position.isEmpty() || isFullReadDue) {
             readAll(new FullRead(keys, entries::isUsable));
         } else {
-            watch(revision.get());
+            watch(position.get().revision());
         }
     }
 
@@ -143,7 +145,7 @@
             }
             isFullReadDue = false;
             handleFullRead(read, "self", System.nanoTime());
-            setRevision(read.revision());
+            setPosition(new StorePosition(reader.era(), read.revision()));
             LOG.info("store-read")
                     .with("revision", read.revision())
                     .with("upstreams", entries.list().size())
@@ -155,7 +157,7 @@
     /** Reads all pages instead of a watch whose response exceeds what a process may hold at once. */
     private void handleWatchTooLarge(String reason) {
         LOG.warn("store-watch-too-large")
-                .with("revision", revision.orElse(0L))
+                .with("revision", knownRevision())
                 .with("why", reason)
                 .write();
         isFullReadDue = true;
@@ -185,12 +187,13 @@
     }
 
     private void adoptPeerCopy(InetSocketAddress peer, MetadataStore.Page page) {
-        if (page.revision() < newestRevision || page.revision() < revision.orElse(0L)) {
+        StorePosition read = new StorePosition(page.era(), page.revision());
+        if (read.isBefore(newestPosition)) {
             return;
         }
         Duration age = page.age().filter(a -> !a.isNegative()).orElse(MAX_COPY_AGE);
         long servedNanos = System.nanoTime() - age.toNanos();
-        if (revision.filter(r -> r == page.revision()).isPresent()) {
+        if (position.filter(read::equals).isPresent()) {
             handleUnchanged(servedNanos);
             return;
         }
@@ -198,12 +201,17 @@
                 .with("peer", peer)
                 .with("age-ms", age.toMillis())
                 .with("revision", page.revision())
-                .with("own-revision", revision.orElse(0L))
+                .with("era", page.era())
+                .with("own-revision", knownRevision())
                 .write();
-        FullRead read = new FullRead(keys, entries::isUsable);
-        read.add(page);
-        handleFullRead(read, "peer", servedNanos);
-        setRevision(page.revision());
+        if (page.era() > reader.era()) {
+            reader.setEra(page.era());
+            setGracePeriod(entries.recordStoreReturn(servedNanos));
+        }
+        FullRead pages = new FullRead(keys, entries::isUsable);
+        pages.add(page);
+        handleFullRead(pages, "peer", servedNanos);
+        setPosition(read);
     }
 
     /** Handles the copy of a peer that shows no change, but that the store still serves the peer. */
@@ -257,7 +265,7 @@
                     if (hasExpired || !changes.changes().isEmpty()) {
                         notifyListener("upstreams", () -> listener.upstreamsUpdated(entries.list()));
                     }
-                    setRevision(Math.max(revision.orElse(after), changes.revision()));
+                    setPosition(new StorePosition(reader.era(), Math.max(knownRevision(), changes.revision())));
                     scheduleNextRead();
                 },
                 this::handleWatchTooLarge);
@@ -269,9 +277,14 @@
         return known == null || known.revision() < c.revision();
     }
 
-    private void setRevision(long newRevision) {
-        revision = Optional.of(newRevision);
-        newestRevision = newRevision;
+    private void setPosition(StorePosition newPosition) {
+        position = Optional.of(newPosition);
+        newestPosition = newPosition;
+    }
+
+    /** Returns the revision from which a watch continues, 0 if there is none. */
+    private long knownRevision() {
+        return position.map(StorePosition::revision).orElse(0L);
     }
 
     private Set<String> evacuatedZones() {
@@ -385,8 +398,16 @@
 
     @Override
     public void historyGone() {
-        LOG.info("store-history-gone").with("revision", revision.orElse(0L)).write();
-        revision = Optional.empty();
+        LOG.info("store-history-gone").with("revision", knownRevision()).write();
+        position = Optional.empty();
+        schedule(Duration.ZERO);
+    }
+
+    @Override
+    public void storeReturned() {
+        setGracePeriod(entries.recordStoreReturn(System.nanoTime()));
+        newestPosition = new StorePosition(reader.era(), 0);
+        isFullReadDue = true;
         schedule(Duration.ZERO);
     }
 
--- a/gateway/src/main/java/org/citrontide/gateway/store/StoreReader.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/StoreReader.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -16,7 +17,8 @@
  *
  * <p>Invariants: a read that got no answer says nothing of the store, because its connection may have fallen silent; it
  * is followed at once by a read on a new connection, and only if that fails is the store unavailable. Each read ends
- * with one call to its handler or to the listener. Not thread-safe: confined to the event loop.
+ * with one call to its handler or to the listener. A handler gets only responses of the era that was known when the
+ * read was sent: in another one, revisions mean something else. Not thread-safe: confined to the event loop.
  */
 final class StoreReader {
     private static final EventLog LOG = EventLog.of(StoreReader.class);
@@ -37,6 +39,8 @@
     private State state = State.AVAILABLE;
     private int consecutiveFailures;
     private long lastResponseNanos = System.nanoTime();
+    private OptionalLong era = OptionalLong.empty();
+    private boolean isReturnUnread;
 
     private enum State {
         AVAILABLE,
@@ -60,6 +64,12 @@
 
         /** Called when the history after the revision of a watch is gone. The next read is due at once. */
         void historyGone();
+
+        /**
+         * Called when a response shows that the store has returned from an older copy of itself. What it served before
+         * may be lost or replaced. The next read is due at once, and must be a full one.
+         */
+        void storeReturned();
     }
 
     /** Handles the body of a successful response. */
@@ -85,6 +95,16 @@
         return Duration.ofNanos(System.nanoTime() - lastResponseNanos);
     }
 
+    /** Returns the era of the store, 0 if it names none. */
+    long era() {
+        return era.orElse(0);
+    }
+
+    /** Sets the era that a peer has read. */
+    void setEra(long newEra) {
+        era = OptionalLong.of(newEra);
+    }
+
     /** Sends a read whose response has a bounded size. */
     void read(PlatformCall call, ResponseHandler handler) {
         read(call, handler, this::handleUnavailable);
@@ -121,6 +141,14 @@
     }
 
     private void handleResponse(PlatformResponse response, ResponseHandler handler) {
+        response.storeEra().ifPresent(this::recordEra);
+        boolean isServed = response.status() == OK || response.status() == MetadataStore.STATUS_COMPACTED;
+        if (isReturnUnread && isServed) {
+            isReturnUnread = false;
+            handleAvailable();
+            listener.storeReturned();
+            return;
+        }
         if (response.status() == MetadataStore.STATUS_COMPACTED) {
             state = state == State.UNCERTAIN ? State.AVAILABLE : state;
             listener.historyGone();
@@ -141,6 +169,21 @@
         }
     }
 
+    /**
+     * Records the era that a response names. One that is lower than the known one counts as well: after an implausible
+     * one, all others would be lower.
+     */
+    private void recordEra(long newEra) {
+        if (era.isPresent() && era.getAsLong() != newEra) {
+            isReturnUnread = true;
+            LOG.warn("store-returned")
+                    .with("era", newEra)
+                    .with("previous-era", era.getAsLong())
+                    .write();
+        }
+        era = OptionalLong.of(newEra);
+    }
+
     private void handleUnavailable(String reason) {
         consecutiveFailures++;
         if (state != State.UNAVAILABLE) {
--- a/gateway/src/main/java/org/citrontide/gateway/store/UpstreamEntries.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/UpstreamEntries.java
@@ -60,6 +60,16 @@
         membership.recordStoreFailure(System.nanoTime());
     }
 
+    /**
+     * Records that the store has returned from an older copy of itself.
+     *
+     * @param servedNanos monotonic time in ns at which it served in the new era
+     * @return the grace period that begins, because entries that the copy lacks are written again
+     */
+    GracePeriod recordStoreReturn(long servedNanos) {
+        return membership.recordStoreReturn(servedNanos);
+    }
+
     /**
      * Replaces all entries by those that the store has served.
      *
