Leave an upstream alone for the time that its 503 names

Cause: ResponseClassifier read the time into the outcome, and nothing used it: a full upstream was left alone for 60 ms, one whose 503 doesn't say "not run" not at all.

Change: UpstreamBackoffs keeps the end of the time by instance on the monotonic clock, also while its entry is gone; a later answer only lengthens it. No first attempt, retry, resume or read of speeds goes there; attempts that have not been written are withdrawn and sent elsewhere. While all upstreams are away, a request waits for the first one if its caller can, else it is refused at once with that time. Unreadable values are logged and ignored; a log line and a counter tell of each. The unused time in AttemptOutcome.Rejected is gone, so the tests that build one name only its cause.

Not done: gradual filling at the end of the time, other gateways.

--- a/core/src/main/java/org/citrontide/core/expertmap/ArmedSwitch.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/ArmedSwitch.java
@@ -12,7 +12,7 @@
  */
 record ArmedSwitch(int epoch, long version, long step, boolean mayRepeat) {
 
-    /** Returns whether the reports of the ranks show that they are armed for this switch and haven't started its pass. */
+    /** Returns whether the reports agree that the ranks are armed for this switch and haven't started its pass. */
     boolean isPending(List<String> ranks, GroupReports reports) {
         return ranks.stream()
                 .map(reports::of)
--- a/core/src/main/java/org/citrontide/core/gateway/AttemptOutcome.java
+++ b/core/src/main/java/org/citrontide/core/gateway/AttemptOutcome.java
@@ -1,7 +1,5 @@
 package org.citrontide.core.gateway;
 
-import java.util.Optional;
-
 import org.citrontide.core.verdict.Reason;
 
 /**
@@ -41,9 +39,8 @@
      * The upstream reported that it did not run the request.
      *
      * @param cause why the upstream rejected the request
-     * @param retryAfterMillis delay in ms after which the upstream expects free capacity, if it sent one
      */
-    record Rejected(Cause cause, Optional<Long> retryAfterMillis) implements AttemptOutcome {
+    record Rejected(Cause cause) implements AttemptOutcome {
 
         /** Why an upstream did not run a request. */
         public enum Cause {
--- a/core/src/main/java/org/citrontide/core/gateway/DispatchHandler.java
+++ b/core/src/main/java/org/citrontide/core/gateway/DispatchHandler.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.citrontide.core.routes.ListedUpstream;
 import org.citrontide.core.routes.Route;
@@ -100,7 +101,8 @@
     void handleUpstreams(List<ListedUpstream> upstreams) {
         state.replaceUpstreams(upstreams, nowNanos);
         state.coldUpstreams.updateEntries(upstreams, nowNanos);
-        if (state.coldUpstreams.hasRules()) {
+        if (state.coldUpstreams.hasRules() || state.registry.hasBackoffs()) {
+            // An upstream that is new may take the requests that wait for another one.
             state.services.all().forEach(s -> s.queue.unblock());
         }
         if (state.placement.isAnyZoneEvacuated()) {
@@ -195,8 +197,10 @@
     private void checkGap(GatewayRequest request, long gapNanos) {
         List<UpstreamState> all = state.registry.ofService(request.service());
         if (state.speedMonitor.recordGap(request, gapNanos, all, nowNanos)) {
-            actions.add(new GatewayAction.QuerySpeeds(
-                    all.stream().map(UpstreamState::entry).toList()));
+            actions.add(new GatewayAction.QuerySpeeds(all.stream()
+                    .filter(u -> !u.isBackedOff(nowNanos))
+                    .map(UpstreamState::entry)
+                    .toList()));
         }
     }
 
@@ -246,12 +250,24 @@
     /** Withdraws the unsent attempts in evacuated zones, and ends the waiting requests that have no upstream left. */
     void handleEvacuatedZones(Set<String> zones) {
         state.placement.setEvacuatedZones(zones);
+        withdrawUnsent(state.placement::isInEvacuatedZone);
+        refuseExcluded();
+    }
+
+    /** Leaves an upstream alone that has asked for it; what has not been written to it is sent elsewhere. */
+    void handleBackoff(GatewayEvent.BackoffRequested requested) {
+        if (state.registry.recordBackoff(requested.upstream(), requested.duration(), nowNanos)) {
+            actions.add(new GatewayAction.ReportBackoff(requested.upstream(), requested.duration()));
+            withdrawUnsent(u -> u.isBackedOff(nowNanos));
+        }
+    }
+
+    private void withdrawUnsent(Predicate<UpstreamState> isAffected) {
         for (OpenGatewayRequest open : List.copyOf(state.openById.values())) {
             open.attempt
-                    .filter(attempt -> !attempt.isStarted && state.placement.isInEvacuatedZone(attempt.upstream))
+                    .filter(attempt -> !attempt.isStarted && isAffected.test(attempt.upstream))
                     .ifPresent(attempt -> actions.add(new GatewayAction.WithdrawAttempt(attempt.number)));
         }
-        refuseExcluded();
     }
 
     /** Ends a request whose prompt has a quarantined part; returns whether it has one. */
@@ -395,11 +411,7 @@
     }
 
     private void fail(OpenGatewayRequest open, Reason reason) {
-        OptionalLong promise = reason == Reason.NO_UPSTREAM ? queue(open).promiseNanos(nowNanos) : OptionalLong.empty();
-        Duration delay = promise.isPresent()
-                ? state.retryAfterPolicy.retryAt(promise.getAsLong(), open.request, nowNanos)
-                : state.retryAfterPolicy.retryAfter(reason, open.request, nowNanos);
-        end(open, new Verdict.NotRun(reason, delay));
+        end(open, new Verdict.NotRun(reason, state.retryAfter(open, reason, nowNanos)));
     }
 
     /** Ends a request with the given verdict, or with one that says so if an earlier attempt may have run. */
--- a/core/src/main/java/org/citrontide/core/gateway/DispatchState.java
+++ b/core/src/main/java/org/citrontide/core/gateway/DispatchState.java
@@ -1,9 +1,11 @@
 package org.citrontide.core.gateway;
 
+import java.time.Duration;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.TreeSet;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -13,6 +15,7 @@
 import org.citrontide.core.costing.WorkEstimator;
 import org.citrontide.core.locality.LocalityPolicy;
 import org.citrontide.core.routes.ListedUpstream;
+import org.citrontide.core.verdict.Reason;
 import org.citrontide.core.warmup.ColdSettings;
 import org.citrontide.core.warmup.ColdUpstreams;
 
@@ -60,4 +63,17 @@
         placement.setSlots(slots);
         lateRequestLimit.setGateways(slots.index(), slots.count(), slots.epochNanos());
     }
+
+    /** Returns the time after which a refused caller can be served, as far as that is known. */
+    Duration retryAfter(OpenGatewayRequest open, Reason reason, long nowNanos) {
+        OptionalLong backoffEnd = placement.backoffEndNanos(open, nowNanos);
+        if (backoffEnd.isPresent()) {
+            return retryAfterPolicy.retryAfterTurn(backoffEnd.getAsLong(), open.request, nowNanos);
+        }
+        OptionalLong promise =
+                reason == Reason.NO_UPSTREAM ? services.of(open).queue.promiseNanos(nowNanos) : OptionalLong.empty();
+        return promise.isPresent()
+                ? retryAfterPolicy.retryAt(promise.getAsLong(), open.request, nowNanos)
+                : retryAfterPolicy.retryAfter(reason, open.request, nowNanos);
+    }
 }
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayAction.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayAction.java
@@ -139,6 +139,14 @@
      */
     record ReportRateLimit(ListedUpstream upstream, OptionalDouble perSecond) implements GatewayAction {}
 
+    /**
+     * Reports that an upstream is left alone from now on, or for longer than before.
+     *
+     * @param upstream the upstream
+     * @param duration time from now
+     */
+    record ReportBackoff(ListedUpstream upstream, Duration duration) implements GatewayAction {}
+
     /**
      * Reports that an upstream became cold, began to warm up, or became warm.
      *
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayDispatcher.java
@@ -106,6 +106,7 @@
                 state.registry.find(r.upstream()).ifPresent(u -> handler.handleReport(u, r));
             case GatewayEvent.GroupsUpdated g -> state.groupHealth.setGroups(g.groupByUpstream());
             case GatewayEvent.HeadReceived h -> handler.handleHeadReceived(h);
+            case GatewayEvent.BackoffRequested b -> handler.handleBackoff(b);
             case GatewayEvent.ColdReported c ->
                 state.coldUpstreams.recordResponse(c.upstream(), c.remaining(), nowNanos);
             case GatewayEvent.ColdRulesUpdated u -> state.coldUpstreams.setRules(u.byService(), nowNanos);
--- a/core/src/main/java/org/citrontide/core/gateway/GatewayEvent.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GatewayEvent.java
@@ -45,6 +45,14 @@
      */
     record HeadReceived(long attempt, OptionalDouble limitPerSecond) implements GatewayEvent {}
 
+    /**
+     * A response said for how long its upstream wants no more requests.
+     *
+     * @param upstream the upstream
+     * @param duration time from the arrival of the response
+     */
+    record BackoffRequested(ListedUpstream upstream, Duration duration) implements GatewayEvent {}
+
     /**
      * A response said how long its upstream stays cold.
      *
--- a/core/src/main/java/org/citrontide/core/gateway/GroupHealth.java
+++ b/core/src/main/java/org/citrontide/core/gateway/GroupHealth.java
@@ -149,6 +149,7 @@
             List<UpstreamState> members = groupByUpstream.entrySet().stream()
                     .filter(e -> e.getValue().equals(group))
                     .flatMap(e -> registry.find(e.getKey()).stream())
+                    .filter(u -> !u.isBackedOff(nowNanos))
                     .toList();
             if (!members.isEmpty()) {
                 due.add(members.get(outage.queries++ % members.size()).entry());
--- a/core/src/main/java/org/citrontide/core/gateway/UpstreamPlacement.java
+++ b/core/src/main/java/org/citrontide/core/gateway/UpstreamPlacement.java
@@ -56,7 +56,7 @@
         return selector.select(available, open.triedIds, workEstimator.estimate(costed(open)), nowNanos);
     }
 
-    /** Returns when an upstream accepts the request, if only rate limits keep it from all of them. */
+    /** Returns when an upstream accepts the request, if only rate limits and backoffs keep it from all of them. */
     OptionalLong nextOpenNanos(OpenGatewayRequest open, long nowNanos) {
         if (!isHeldBack(open, nowNanos)) {
             return selector.nextOpenNanos(eligible(open), open.triedIds, nowNanos);
@@ -69,6 +69,15 @@
                 .min();
     }
 
+    /** Returns when the first upstream takes requests again, if all of them have asked to be left alone. */
+    OptionalLong backoffEndNanos(OpenGatewayRequest open, long nowNanos) {
+        List<UpstreamState> listed =
+                eligible(open).stream().filter(u -> !u.entry().isDraining()).toList();
+        return listed.stream().allMatch(u -> u.isBackedOff(nowNanos))
+                ? listed.stream().mapToLong(u -> u.backoffEndNanos(nowNanos)).min()
+                : OptionalLong.empty();
+    }
+
     /** Returns whether an upstream would accept the request if it were not cold. */
     boolean isHeldBack(OpenGatewayRequest open, long nowNanos) {
         return coldUpstreams.mayLimit()
--- a/core/src/main/java/org/citrontide/core/gateway/UpstreamRegistry.java
+++ b/core/src/main/java/org/citrontide/core/gateway/UpstreamRegistry.java
@@ -1,14 +1,17 @@
 package org.citrontide.core.gateway;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 
+import org.citrontide.core.backoff.UpstreamBackoffs;
 import org.citrontide.core.routes.ListedUpstream;
 
 /**
@@ -20,6 +23,7 @@
 public final class UpstreamRegistry {
     private final Map<String, UpstreamState> byId = new TreeMap<>();
     private final Map<String, List<UpstreamState>> byService = new HashMap<>();
+    private final UpstreamBackoffs backoffs = new UpstreamBackoffs();
 
     /**
      * Replaces the list of upstreams and keeps the state of those that have not restarted.
@@ -35,7 +39,9 @@
             if (known != null && known.entry().isSameInstance(l)) {
                 known.updateEntry(l);
             } else {
-                byId.put(l.id(), new UpstreamState(l, nowNanos));
+                UpstreamState added = new UpstreamState(l, nowNanos);
+                backoffs.endNanos(l).ifPresent(added::setBackoffEnd);
+                byId.put(l.id(), added);
             }
         }
         byId.keySet().retainAll(present);
@@ -46,6 +52,27 @@
                         .add(u));
     }
 
+    /**
+     * Records that an upstream wants no requests from this gateway for some time.
+     *
+     * @param upstream the instance that asked for it
+     * @param duration the time
+     * @param nowNanos monotonic time in ns at which its answer arrived
+     * @return whether this begins or lengthens the time for which it is left alone
+     */
+    boolean recordBackoff(ListedUpstream upstream, Duration duration, long nowNanos) {
+        OptionalLong endNanos = backoffs.record(upstream, duration, nowNanos);
+        endNanos.ifPresent(end -> find(upstream.id())
+                .filter(u -> u.entry().isSameInstance(upstream))
+                .ifPresent(u -> u.setBackoffEnd(end)));
+        return endNanos.isPresent();
+    }
+
+    /** Returns whether any upstream has ever asked to be left alone. */
+    boolean hasBackoffs() {
+        return !backoffs.isEmpty();
+    }
+
     /**
      * Returns the upstreams of a service.
      *
--- a/core/src/main/java/org/citrontide/core/gateway/UpstreamSelector.java
+++ b/core/src/main/java/org/citrontide/core/gateway/UpstreamSelector.java
@@ -78,19 +78,19 @@
     }
 
     /**
-     * Returns when an upstream accepts the next request, if rate limits are the reason why none does now.
+     * Returns when an upstream accepts the next request, if rate limits or backoffs are the reason why none does now.
      *
      * @param upstreams upstreams of the service
      * @param triedIds identities of the upstreams that this request was already sent to
      * @param nowNanos monotonic time in ns
-     * @return the earliest time in ns, or empty if no upstream is kept from requests by its rate limit alone
+     * @return the earliest time in ns, or empty if none is kept from requests by its rate limit or its backoff alone
      */
     public OptionalLong nextOpenNanos(List<UpstreamState> upstreams, Set<String> triedIds, long nowNanos) {
         List<UpstreamState> untried = upstreams.stream()
                 .filter(u ->
                         !u.entry().isDraining() && !triedIds.contains(u.entry().id()))
                 .toList();
-        if (untried.stream().noneMatch(u -> u.isRateLimited(slots, nowNanos))) {
+        if (untried.stream().noneMatch(u -> u.isRateLimited(slots, nowNanos) || u.isBackedOff(nowNanos))) {
             return OptionalLong.empty();
         }
         return untried.stream().mapToLong(u -> u.nextOpenNanos(slots, nowNanos)).min();
--- a/core/src/main/java/org/citrontide/core/gateway/UpstreamState.java
+++ b/core/src/main/java/org/citrontide/core/gateway/UpstreamState.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 
 import org.citrontide.core.costing.PendingWork;
 import org.citrontide.core.costing.UpstreamWork;
@@ -12,8 +13,9 @@
 /**
  * The state of one upstream as seen by one gateway, from the upstream list and from the gateway's own attempts.
  *
- * <p>Invariant: the gateway's own observations take precedence over the list: a listed upstream that was unreachable or
- * rejected a request receives no requests until its pause ends. Not thread-safe: confined to the dispatcher's thread.
+ * <p>Invariants: the gateway's own observations take precedence over the list: a listed upstream that was unreachable
+ * or rejected a request receives no requests until its pause ends, and one that asked to be left alone none until its
+ * backoff ends. Not thread-safe: confined to the dispatcher's thread.
  */
 public final class UpstreamState {
     // Weight of a new sample in the moving averages, which cover about the last ten attempts.
@@ -40,6 +42,7 @@
     private int consecutiveUnreachable;
     private long pausedUntilNanos;
     private boolean hasPause;
+    private OptionalLong backoffEndNanos = OptionalLong.empty();
     private long lastProgressNanos;
     private double health = 1;
     private long healthUpdateNanos;
@@ -77,7 +80,7 @@
     }
 
     boolean isAccepting(long nowNanos) {
-        return !entry.isDraining() && !isPaused(nowNanos);
+        return !entry.isDraining() && !isPaused(nowNanos) && !isBackedOff(nowNanos);
     }
 
     /** Returns whether a request may be sent now. */
@@ -89,6 +92,20 @@
         return hasPause && nowNanos < pausedUntilNanos;
     }
 
+    /** Returns whether the upstream has asked this gateway to leave it alone. */
+    boolean isBackedOff(long nowNanos) {
+        return backoffEndNanos.isPresent() && nowNanos - backoffEndNanos.getAsLong() < 0;
+    }
+
+    /** Returns the time until which the upstream is left alone, now if it is not. */
+    long backoffEndNanos(long nowNanos) {
+        return isBackedOff(nowNanos) ? backoffEndNanos.getAsLong() : nowNanos;
+    }
+
+    void setBackoffEnd(long endNanos) {
+        backoffEndNanos = OptionalLong.of(endNanos);
+    }
+
     /** Returns whether only the upstream's rate limit keeps a request from it. */
     boolean isRateLimited(SendSlots slots, long nowNanos) {
         return isAccepting(nowNanos) && limitOpenNanos(slots, nowNanos) > nowNanos;
@@ -97,7 +114,7 @@
     /** Returns the time from which the upstream accepts a request, as far as it is known. */
     long nextOpenNanos(SendSlots slots, long nowNanos) {
         long pauseEndNanos = isPaused(nowNanos) ? pausedUntilNanos : nowNanos;
-        return Math.max(pauseEndNanos, limitOpenNanos(slots, nowNanos));
+        return Math.max(Math.max(pauseEndNanos, backoffEndNanos(nowNanos)), limitOpenNanos(slots, nowNanos));
     }
 
     /**
--- a/core/src/test/java/org/citrontide/core/expertmap/GroupMapControllerTest.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/GroupMapControllerTest.java
@@ -78,7 +78,7 @@
         assertTrue(changes > 1000, changes + " map changes in total");
     }
 
-    // Guards against a pass on two maps because a rank that is armed for another pass counts as armed for a held one.
+    // Guards against a pass on two maps because ranks that are armed for another pass count as armed for a held one.
     @Test
     void startsNoPassOnTwoMapsWhileRanksOfAnIdleGroupLeaveOrdersUnanswered() {
         int changes = 0;
--- a/core/src/test/java/org/citrontide/core/gateway/CrashGuardTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/CrashGuardTest.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.SplittableRandom;
 
 import org.citrontide.core.quarantine.CrashEvidence;
@@ -109,7 +108,7 @@
     void aRequestThatWaitsForItsGroupIsRefusedOnceItsPartIsQuarantined() {
         GatewayAction.SendAttempt probe = send(arrive("a1"));
         nowMs += 400;
-        end(probe, new AttemptOutcome.Rejected(AttemptOutcome.Rejected.Cause.GROUP_BROKEN, Optional.empty()));
+        end(probe, new AttemptOutcome.Rejected(AttemptOutcome.Rejected.Cause.GROUP_BROKEN));
         send(arrive("a2"));
         assertEquals(List.of(), arrive("a3", "bad"), "waits");
         List<GatewayAction> out = crash("u1", nowMs - 5000, "u2", nowMs);
--- a/core/src/test/java/org/citrontide/core/gateway/CrashingPromptSimulation.java
+++ b/core/src/test/java/org/citrontide/core/gateway/CrashingPromptSimulation.java
@@ -278,6 +278,7 @@
                 case GatewayAction.ReportQuarantine q -> {
                     // Affects only the log.
                 }
+                case GatewayAction.ReportBackoff b -> throw new AssertionError("no upstream asks to be left alone");
                 case GatewayAction.ReportCold c -> throw new AssertionError("no service has a rule");
                 case GatewayAction.ReportHeldBack h -> throw new AssertionError("no service has a rule");
             }
@@ -310,9 +311,7 @@
         if (isStalled(rank(s.upstream()))) {
             schedule(
                     ROUND_TRIP_MS,
-                    () -> end(
-                            work,
-                            new AttemptOutcome.Rejected(AttemptOutcome.Rejected.Cause.GROUP_BROKEN, Optional.empty())));
+                    () -> end(work, new AttemptOutcome.Rejected(AttemptOutcome.Rejected.Cause.GROUP_BROKEN)));
             return;
         }
         int rank = rank(s.upstream());
@@ -379,8 +378,7 @@
                         w,
                         w.isStarted
                                 ? new AttemptOutcome.Broken(Reason.CONNECTION_LOST)
-                                : new AttemptOutcome.Rejected(
-                                        AttemptOutcome.Rejected.Cause.GROUP_BROKEN, Optional.empty()));
+                                : new AttemptOutcome.Rejected(AttemptOutcome.Rejected.Cause.GROUP_BROKEN));
             }
         }
     }
--- a/core/src/test/java/org/citrontide/core/gateway/ExpectedCostDispatchTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/ExpectedCostDispatchTest.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
@@ -49,7 +48,7 @@
         for (int i = 0; i < 4; i++) {
             GatewayAction.SendAttempt next = arrive(0, 140);
             assertEquals(ending.upstream(), next.upstream());
-            end(next, new AttemptOutcome.Rejected(AttemptOutcome.Rejected.Cause.UNACCEPTABLE, Optional.empty()));
+            end(next, new AttemptOutcome.Rejected(AttemptOutcome.Rejected.Cause.UNACCEPTABLE));
         }
     }
 
@@ -70,7 +69,7 @@
         progress(sent);
         end(sent, new AttemptOutcome.Completed(200));
         GatewayAction.SendAttempt rejected = arrive(0, 140);
-        end(rejected, new AttemptOutcome.Rejected(AttemptOutcome.Rejected.Cause.UNACCEPTABLE, Optional.empty()));
+        end(rejected, new AttemptOutcome.Rejected(AttemptOutcome.Rejected.Cause.UNACCEPTABLE));
         nowMs += 6_000;
         arrive(0, 140);
         PlacementReport report = reports(tick()).getLast();
--- a/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherFaultTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherFaultTest.java
@@ -6,7 +6,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 
@@ -208,9 +207,7 @@
                 case 0 -> new AttemptOutcome.Broken(Reason.CONNECTION_LOST);
                 case 1 -> new AttemptOutcome.Failed(500);
                 case 2 -> new AttemptOutcome.Unreached();
-                case 3 ->
-                    new AttemptOutcome.Rejected(
-                            AttemptOutcome.Rejected.Cause.values()[random.nextInt(4)], Optional.empty());
+                case 3 -> new AttemptOutcome.Rejected(AttemptOutcome.Rejected.Cause.values()[random.nextInt(4)]);
                 default -> new AttemptOutcome.Completed(200);
             };
         }
@@ -242,6 +239,7 @@
                     case GatewayAction.ReportQuarantine q -> {
                         // Affects only the log.
                     }
+                    case GatewayAction.ReportBackoff b -> throw new AssertionError("no upstream asks to be left alone");
                     case GatewayAction.ReportCold c -> throw new AssertionError("no service has a rule");
                     case GatewayAction.ReportHeldBack h -> throw new AssertionError("no service has a rule");
                 }
--- a/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/GatewayDispatcherTest.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.SplittableRandom;
 
 import org.citrontide.core.routes.ListedUpstream;
@@ -21,10 +20,9 @@
 /** Checks the handling of upstream faults, group outages and slow upstreams. */
 final class GatewayDispatcherTest {
     private static final long MS = 1_000_000;
-    private static final AttemptOutcome FULL =
-            new AttemptOutcome.Rejected(AttemptOutcome.Rejected.Cause.FULL, Optional.empty());
+    private static final AttemptOutcome FULL = new AttemptOutcome.Rejected(AttemptOutcome.Rejected.Cause.FULL);
     private static final AttemptOutcome GROUP_BROKEN =
-            new AttemptOutcome.Rejected(AttemptOutcome.Rejected.Cause.GROUP_BROKEN, Optional.empty());
+            new AttemptOutcome.Rejected(AttemptOutcome.Rejected.Cause.GROUP_BROKEN);
     private static final GatewayAction DOWN = new GatewayAction.ReportGroupState("s", true, 0);
     private static final AttemptOutcome BROKEN = new AttemptOutcome.Broken(Reason.CONNECTION_LOST);
 
--- a/core/src/test/java/org/citrontide/core/gateway/GroupOutageSimulation.java
+++ b/core/src/test/java/org/citrontide/core/gateway/GroupOutageSimulation.java
@@ -7,7 +7,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -349,6 +348,7 @@
                 }
                 case GatewayAction.ReportQuarantine c -> throw new AssertionError("no part is suspected");
                 case GatewayAction.WithdrawAttempt w -> throw new AssertionError("no zone is evacuated");
+                case GatewayAction.ReportBackoff b -> throw new AssertionError("no upstream asks to be left alone");
                 case GatewayAction.ReportCold c -> throw new AssertionError("no service has a rule");
                 case GatewayAction.ReportHeldBack h -> throw new AssertionError("no service has a rule");
                 case GatewayAction.CancelAttempt c -> liveAttempts.get(g).remove(c.attempt());
@@ -370,8 +370,7 @@
                             g,
                             new GatewayEvent.AttemptEnded(
                                     s.attempt(),
-                                    new AttemptOutcome.Rejected(
-                                            AttemptOutcome.Rejected.Cause.GROUP_BROKEN, Optional.empty()))));
+                                    new AttemptOutcome.Rejected(AttemptOutcome.Rejected.Cause.GROUP_BROKEN))));
             return;
         }
         liveAttempts.get(g).add(s.attempt());
--- a/core/src/test/java/org/citrontide/core/gateway/LocalityDispatchTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/LocalityDispatchTest.java
@@ -26,10 +26,9 @@
 /** Checks where a dispatcher sends requests while zones are evacuated, and for routes and teams with home regions. */
 final class LocalityDispatchTest {
     private static final long MS = 1_000_000;
-    private static final AttemptOutcome FULL =
-            new AttemptOutcome.Rejected(AttemptOutcome.Rejected.Cause.FULL, Optional.empty());
+    private static final AttemptOutcome FULL = new AttemptOutcome.Rejected(AttemptOutcome.Rejected.Cause.FULL);
     private static final AttemptOutcome GROUP_BROKEN =
-            new AttemptOutcome.Rejected(AttemptOutcome.Rejected.Cause.GROUP_BROKEN, Optional.empty());
+            new AttemptOutcome.Rejected(AttemptOutcome.Rejected.Cause.GROUP_BROKEN);
     private static final AttemptOutcome BROKEN = new AttemptOutcome.Broken(Reason.CONNECTION_LOST);
     private static final Set<String> ANY = Set.of();
 
--- a/core/src/test/java/org/citrontide/core/gateway/PlacementSimulation.java
+++ b/core/src/test/java/org/citrontide/core/gateway/PlacementSimulation.java
@@ -296,8 +296,7 @@
         int limit = scenario.slots();
         if (r.server.queue.size() >= limit) {
             r.seen.recordAttemptEnded(r.work, false);
-            r.seen.recordOutcome(
-                    new AttemptOutcome.Rejected(AttemptOutcome.Rejected.Cause.FULL, Optional.empty()), 0, now);
+            r.seen.recordOutcome(new AttemptOutcome.Rejected(AttemptOutcome.Rejected.Cause.FULL), 0, now);
             send(r);
             return;
         }
--- a/core/src/test/java/org/citrontide/core/gateway/RetryBudgetRestartTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/RetryBudgetRestartTest.java
@@ -246,7 +246,7 @@
         private AttemptOutcome outcome() {
             return switch (failure == 3 ? random.nextInt(4) : failure) {
                 case 0 -> new AttemptOutcome.Failed(500);
-                case 1 -> new AttemptOutcome.Rejected(AttemptOutcome.Rejected.Cause.FULL, Optional.empty());
+                case 1 -> new AttemptOutcome.Rejected(AttemptOutcome.Rejected.Cause.FULL);
                 case 2 -> new AttemptOutcome.Broken(Reason.CONNECTION_LOST);
                 default -> new AttemptOutcome.Completed(200);
             };
--- a/core/src/test/java/org/citrontide/core/gateway/UpstreamRateLimitTest.java
+++ b/core/src/test/java/org/citrontide/core/gateway/UpstreamRateLimitTest.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.SplittableRandom;
 
@@ -83,7 +82,7 @@
         GatewayAction.SendAttempt rejected = send(arrive());
         assertEquals("b", rejected.upstream().id());
         handle(new GatewayEvent.AttemptEnded(
-                rejected.attempt(), new AttemptOutcome.Rejected(AttemptOutcome.Rejected.Cause.FULL, Optional.empty())));
+                rejected.attempt(), new AttemptOutcome.Rejected(AttemptOutcome.Rejected.Cause.FULL)));
         assertEquals(List.of(), arrive(), "one upstream is limited, the other one is full");
         nowMs += 100;
         assertEquals("b", send(handle(new GatewayEvent.Tick())).upstream().id());
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayMetrics.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayMetrics.java
@@ -40,6 +40,7 @@
     private final StartupMetrics startupMetrics;
     private final SendMonitor sendMonitor;
     private final ColdReports coldReports;
+    private final BackoffReports backoffReports;
     private final PlacementReports placementReports;
 
     /**
@@ -81,9 +82,14 @@
         startupMetrics = new StartupMetrics(registry);
         sendMonitor = new SendMonitor(registry);
         coldReports = new ColdReports(registry);
+        backoffReports = new BackoffReports(registry);
         placementReports = new PlacementReports(registry);
     }
 
+    BackoffReports backoffReports() {
+        return backoffReports;
+    }
+
     ColdReports coldReports() {
         return coldReports;
     }
--- a/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/dispatch/GatewayShell.java
@@ -10,6 +10,7 @@
 import java.util.random.RandomGenerator;
 
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import org.citrontide.core.gateway.AttemptOutcome;
 import org.citrontide.core.gateway.GatewayAction;
 import org.citrontide.core.gateway.GatewayDispatcher;
@@ -56,6 +57,7 @@
     private final GatewayRequestFactory requestFactory;
     private final GatewayMetrics metrics;
     private final ColdReports coldReports;
+    private final BackoffReports backoffReports;
     private final EventLoop loop;
     private final StartupRequests startupRequests;
     private final RequestLog log = new RequestLog();
@@ -93,6 +95,7 @@
         this.requestFactory = new GatewayRequestFactory(random);
         this.metrics = metrics;
         this.coldReports = metrics.coldReports();
+        this.backoffReports = metrics.backoffReports();
         this.updates = new DispatchUpdates(this::handle, log, metrics);
         this.loop = loop;
         this.startupRequests = new StartupRequests(random, metrics.startupMetrics(), System.nanoTime());
@@ -250,6 +253,10 @@
     public void headReceived(UpstreamAttempt attempt) {
         ResponseHead head = attempt.head().orElseThrow();
         head.coldRemaining().ifPresent(r -> handle(new GatewayEvent.ColdReported(attempt.upstream(), r)));
+        head.backoff().ifPresent(b -> handle(new GatewayEvent.BackoffRequested(attempt.upstream(), b)));
+        if (head.hasMalformedBackoff()) {
+            backoffReports.reportMalformed(attempt.upstream(), head.headers().get(HttpHeaderNames.RETRY_AFTER));
+        }
         if (head.hasMalformedRateLimit()) {
             log.logMalformedRateLimit(attempt.upstream(), head.headers().get(PlatformHeaders.RATE_LIMIT));
             return;
@@ -348,6 +355,7 @@
                 case GatewayAction.ReportGroupState n -> reportGroupState(n);
                 case GatewayAction.ReportGroupAvailability a -> log.logGroupAvailability(a);
                 case GatewayAction.ReportRateLimit l -> log.logRateLimit(l);
+                case GatewayAction.ReportBackoff b -> backoffReports.report(b);
                 case GatewayAction.ReportPlacement p ->
                     metrics.placementReports().report(p.report());
                 case GatewayAction.ReportCold c -> coldReports.reportCold(c.change());
--- a/gateway/src/main/java/org/citrontide/gateway/upstream/ResponseHead.java
+++ b/gateway/src/main/java/org/citrontide/gateway/upstream/ResponseHead.java
@@ -17,6 +17,8 @@
  */
 public record ResponseHead(int status, HttpHeaders headers) {
 
+    private static final int UNAVAILABLE = 503;
+    private static final int MILLIS_PER_SECOND = 1000;
     private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,9}(\\.[0-9]+)?");
 
     /**
@@ -52,6 +54,31 @@
         return headers.contains(PlatformHeaders.RATE_LIMIT) && rateLimit().isEmpty();
     }
 
+    /**
+     * Returns for how long the upstream wants no more requests: a response with status 503 may say so.
+     *
+     * @return the time, 0 if it wants some at once, empty if the response says nothing or the field is malformed
+     */
+    public Optional<Duration> backoff() {
+        String value = headers.get(HttpHeaderNames.RETRY_AFTER);
+        return status == UNAVAILABLE
+                        && value != null
+                        && DECIMAL.matcher(value.trim()).matches()
+                ? Optional.of(Duration.ofMillis((long) Math.ceil(Double.parseDouble(value.trim()) * MILLIS_PER_SECOND)))
+                : Optional.empty();
+    }
+
+    /**
+     * Returns whether the response names a time without requests that can't be read.
+     *
+     * @return true if the field is malformed, false if it is missing or without meaning
+     */
+    public boolean hasMalformedBackoff() {
+        return status == UNAVAILABLE
+                && headers.contains(HttpHeaderNames.RETRY_AFTER)
+                && backoff().isEmpty();
+    }
+
     /**
      * Returns whether the upstream produced the response, as opposed to an intermediary.
      *
--- a/gateway/src/test/java/org/citrontide/gateway/upstream/ResponseClassifierTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/upstream/ResponseClassifierTest.java
@@ -1,7 +1,5 @@
 package org.citrontide.gateway.upstream;
 
-import java.util.Optional;
-
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.citrontide.core.gateway.AttemptOutcome;
@@ -27,7 +25,7 @@
     }
 
     private static AttemptOutcome rejected(Cause cause) {
-        return new AttemptOutcome.Rejected(cause, Optional.empty());
+        return new AttemptOutcome.Rejected(cause);
     }
 
     private static ResponseHead head(int status, boolean namesFaultyMember) {
--- a/gateway/src/test/java/org/citrontide/gateway/upstream/ResponseHeadTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/upstream/ResponseHeadTest.java
@@ -5,6 +5,7 @@
 import java.util.OptionalDouble;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -53,6 +54,28 @@
         assertEquals(Optional.empty(), headWithColdTime(value).coldRemaining());
     }
 
+    @ParameterizedTest
+    @CsvSource({"0, 0", "3, 3000", "0.25, 250", "1.0001, 1001", "999999999, 999999999000"})
+    void readsTheTimeForWhichAnUpstreamWantsNoRequests(String value, long millis) {
+        assertEquals(
+                Optional.of(Duration.ofMillis(millis)),
+                headWithRetryAfter(503, value).backoff());
+        assertFalse(headWithRetryAfter(503, value).hasMalformedBackoff());
+        assertEquals(Optional.empty(), headWithRetryAfter(429, value).backoff());
+        assertFalse(headWithRetryAfter(429, value).hasMalformedBackoff());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "-1", "soon", "1,6", "NaN", "1e3", "9999999999", "Mon, 07 Dec 2026 21:00:00 GMT"})
+    void aMalformedTimeWithoutRequestsIsNotTakenForAMissingOne(String value) {
+        assertEquals(Optional.empty(), headWithRetryAfter(503, value).backoff());
+        assertTrue(headWithRetryAfter(503, value).hasMalformedBackoff());
+    }
+
+    private static ResponseHead headWithRetryAfter(int status, String value) {
+        return new ResponseHead(status, new DefaultHttpHeaders().set(HttpHeaderNames.RETRY_AFTER, value));
+    }
+
     private static ResponseHead headWithColdTime(String value) {
         return new ResponseHead(200, new DefaultHttpHeaders().set("Citrontide-Cold-Ms", value));
     }
