--- a/core/src/test/java/org/citrontide/core/expertmap/GroupMapControllerTest.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/GroupMapControllerTest.java
@@ -89,7 +89,7 @@
         assertTrue(changes > 10_000, changes + " map changes in total");
     }
 
-    /** Plays a group that is idle by turns and whose ranks leave orders unanswered; returns how often its map changed. */
+    /** Plays a group that is idle by turns and has silent ranks; returns how often its map changed. */
     private static int changesWithSilentRanks(long seed, int passTimeFactor) {
         int shiftMs = 400 + (int) (seed % 4) * 200;
         FakeGroup group =
--- a/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/citrontide/gateway/GatewayHarness.java
@@ -41,6 +41,7 @@
             Duration.ofMillis(200));
 
     private static final Duration RETRY_WINDOW = Duration.ofSeconds(10);
+    private static final int RETRY_SLACK = 600;
     private static final double LINK_MEGABITS_PER_SECOND = 1000;
     private static final Duration AWAIT_TIMEOUT = Duration.ofSeconds(20);
 
@@ -88,6 +89,18 @@
             Optional<InetSocketAddress> peerAddress,
             List<InetSocketAddress> peers,
             Duration stopLimit) {
+        return createGateway(vm, callerPort, adminPort, store, peerAddress, peers, stopLimit, RETRY_SLACK);
+    }
+
+    static GatewayDaemon createGateway(
+            String vm,
+            int callerPort,
+            int adminPort,
+            FakePlatformStore store,
+            Optional<InetSocketAddress> peerAddress,
+            List<InetSocketAddress> peers,
+            Duration stopLimit,
+            int retrySlack) {
         GatewayDaemon created = new GatewayDaemon(
                 new GatewaySettings(
                         vm,
@@ -103,7 +116,7 @@
                         Duration.ofSeconds(2),
                         0.2,
                         RETRY_WINDOW,
-                        600,
+                        retrySlack,
                         10,
                         RESPONSE_MEMORY_BYTES,
                         MEMORY,
