--- a/core/src/main/java/org/citrontide/core/expertmap/GroupMapChange.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/GroupMapChange.java
@@ -17,8 +17,8 @@
  * <p>The steps are: prepare the map on every rank; wait until every rank has copied its new experts; hold a later
  * pass on one rank; arm every rank for that pass; release the pass. Orders may be carried out late, so each is retried
  * until it is answered. After the hold the change is not rolled back: a controller that finds it in progress arms the
- * remaining ranks and releases the pass. An earlier order to release the pass on its holder may still be carried out, so
- * such a controller first has the pass held by another rank as well.
+ * remaining ranks and releases the pass. An earlier order to release the pass on its holder may still be carried out,
+ * so such a controller first has the pass held by another rank as well.
  *
  * <p>Invariants:
  *
--- a/core/src/main/java/org/citrontide/core/expertmap/ServiceMapController.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/ServiceMapController.java
@@ -17,7 +17,8 @@
  * discovered from the reports of the upstreams.
  *
  * <p>Invariants: a controller handles only reports of its own group; results of an action reach the controller that
- * requested it; a controller that may hold its group is kept until it has released it.
+ * requested it; a controller that may hold its group is kept until it has released it; a version of a map is used once
+ * in a term, also by successors.
  *
  * <p>Not thread-safe: confined to one thread. It does no I/O and reads no clock.
  */
@@ -30,7 +31,7 @@
 
     private final EngineProfile profile;
     private final ControlCosts costs;
-    private final MapVersionSequence versions = new MapVersionSequence();
+    private final MapVersionSequence versions;
     private final GroupDirectory directory = new GroupDirectory();
     private final Map<String, GroupMapController> controllers = new TreeMap<>();
     private Optional<Long> term = Optional.empty();
@@ -52,8 +53,24 @@
      * @param costs prices of reads, orders and copies
      */
     public ServiceMapController(EngineProfile profile, ControlCosts costs) {
+        this(profile, costs, new MapVersionSequence());
+    }
+
+    private ServiceMapController(EngineProfile profile, ControlCosts costs, MapVersionSequence versions) {
         this.profile = profile;
         this.costs = costs;
+        this.versions = versions;
+    }
+
+    /**
+     * Creates the controller that takes the place of this one when the engine profile changes. It goes on with the
+     * versions of this one, because ranks don't compare maps of the same version.
+     *
+     * @param newProfile sizes and speeds of the engines of the service
+     * @return a controller whose groups are unknown
+     */
+    public ServiceMapController successor(EngineProfile newProfile) {
+        return new ServiceMapController(newProfile, costs, versions);
     }
 
     /**
--- a/core/src/test/java/org/citrontide/core/expertmap/ServiceMapControllerTest.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/ServiceMapControllerTest.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 
 import org.citrontide.core.routes.EngineProfile;
 import org.junit.jupiter.api.Test;
@@ -20,6 +21,8 @@
     private static final int EXPERTS = 16;
     private static final EngineProfile PROFILE =
             new EngineProfile(8, 100_000, 5, 0.5, 0.05, 60_000, 5, 140, 800, 1, EXPERTS, 6, 2, 100, 100_000);
+    private static final EngineProfile CHANGED_PROFILE =
+            new EngineProfile(8, 100_000, 5, 0.5, 0.05, 60_000, 5, 140, 900, 1, EXPERTS, 6, 2, 100, 100_000);
 
     @Test
     void adaptsTheMapOfEveryGroup() {
@@ -58,6 +61,24 @@
         assertTrue(groups.getLast().changes() >= 2, groups.getLast().changes() + " changes");
     }
 
+    // Guards against a pass on two maps of the same version, of which ranks that got the first one refuse the second.
+    @Test
+    void noVersionIsUsedTwiceIfTheEngineProfileChangesWithinATerm() {
+        int searches = 0;
+        for (long seed = 1; seed <= 20; seed++) {
+            List<FakeGroup> groups = groups(2);
+            ServiceMapSimulation sim = new ServiceMapSimulation(groups, PROFILE, seed, 0.1);
+            for (int at = 1_000; at <= 12_000; at += 700) {
+                sim.runUntil(at + seed * 30);
+                sim.changeProfile(at % 1_400 == 200 ? PROFILE : CHANGED_PROFILE);
+            }
+            assertEquals(sim.versions().size(), Set.copyOf(sim.versions()).size(), "seed " + seed);
+            groups.forEach(g -> assertEquals("", g.violation()));
+            searches += sim.versions().size();
+        }
+        assertTrue(searches > 100, searches + " searches");
+    }
+
     @Test
     void startsNoPassOnTwoMapsWhileCallsAreLost() {
         int changes = 0;
--- a/gateway/src/main/java/org/citrontide/gateway/maps/MapControllerShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/maps/MapControllerShell.java
@@ -159,7 +159,11 @@
         if (profile.equals(profiles.put(service, profile))) {
             return;
         }
-        controllers.put(service, new ServiceMapController(profile, controlCosts));
+        controllers.compute(
+                service,
+                (name, previous) -> previous == null
+                        ? new ServiceMapController(profile, controlCosts)
+                        : previous.successor(profile));
         term.ifPresent(t -> handle(service, new MapEvent.Elected(t)));
         updateMembers(service);
     }
