--- a/core/src/main/java/org/citrontide/core/backoff/UpstreamBackoffs.java
+++ b/core/src/main/java/org/citrontide/core/backoff/UpstreamBackoffs.java
@@ -33,7 +33,7 @@
     public OptionalLong record(ListedUpstream upstream, Duration duration, long nowNanos) {
         long endNanos = nowNanos + duration.toNanos();
         Optional<Long> known = Optional.ofNullable(endNanosByInstance.get(upstream.instanceKey()));
-        if (endNanos <= nowNanos || known.filter(k -> k - endNanos >= 0).isPresent()) {
+        if (endNanos - nowNanos <= 0 || known.filter(k -> k - endNanos >= 0).isPresent()) {
             return OptionalLong.empty();
         }
         if (endNanosByInstance.size() >= MAX_INSTANCES) {
--- a/core/src/main/java/org/citrontide/core/expertmap/GroupMapChange.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/GroupMapChange.java
@@ -28,8 +28,7 @@
  *   <li>The held pass is released only after every rank has answered an order to arm it for this pass, or if no rank is
  *       armed for it or could be. A report is no such answer: it names the version, but not the pass. No rank is ever
  *       disarmed.
- *   <li>Ranks are armed only for a pass that an order of this change holds on a rank to which this change has not sent
- *       an order to release it.
+ *   <li>Ranks are armed only for a pass that an order of this change holds, unless every rank was found to hold one.
  * </ul>
  *
  * <p>Not thread-safe; it does no I/O and reads no clock.
--- a/gateway/src/main/java/org/citrontide/gateway/store/EntryTimes.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/EntryTimes.java
@@ -11,8 +11,8 @@
  * The times at which the present revisions of entries were first received.
  *
  * <p>Invariant: reading an unchanged entry again, in a full read or a copy of a peer, does not make it newer; else an
- * old entry would replace what an upstream has said of itself since. An entry is unchanged if its value is, too: a store
- * that has returned from an older copy of itself gives revisions out again. Not thread-safe: confined to the event loop.
+ * old entry would replace what an upstream has said of itself since. An entry is unchanged if its value is, too: a
+ * store that has returned from an older copy gives revisions out again. Not thread-safe: confined to the event loop.
  */
 final class EntryTimes {
     private record Received(long revision, byte[] value, long nanos) {}
