--- a/core/src/main/java/org/citrontide/core/expertmap/MapVersionSequence.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/MapVersionSequence.java
@@ -13,9 +13,9 @@
     private long term;
     private int usedInTerm;
 
-    /** Starts a term; has no effect if it has started already. */
+    /** Starts a term; has no effect if this one or a later one has started already. */
     void startTerm(long newTerm) {
-        if (newTerm != term) {
+        if (newTerm > term) {
             term = newTerm;
             usedInTerm = 0;
         }
--- a/gateway/src/main/java/org/citrontide/gateway/store/LeaderElection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/LeaderElection.java
@@ -12,6 +12,7 @@
 import io.netty.channel.EventLoop;
 import org.citrontide.core.lease.CandidacyDelay;
 import org.citrontide.core.lease.LeaseValidity;
+import org.citrontide.core.lease.TermNumber;
 import org.citrontide.platform.DecodeException;
 import org.citrontide.platform.MetadataStore;
 import org.citrontide.platform.PlatformCall;
@@ -22,7 +23,8 @@
  *
  * <p>Invariant: a process considers itself the leader only while its lease is certain to be valid, measured on both
  * clocks from before the call that granted or renewed the lease; a single renewal without a response does not end a
- * term. Not thread-safe: confined to the event loop.
+ * term. A term begins only if the lease was granted and the key written in the same era of the store, so that a single
+ * response with another era numbers no term. Not thread-safe: confined to the event loop.
  */
 public final class LeaderElection {
     /** Key that the leader writes; its value is the name of the leader's VM. */
@@ -146,7 +148,7 @@
                 return;
             }
             try {
-                writeLeaderKey(MetadataStore.decodeLeaseId(response.body()));
+                writeLeaderKey(MetadataStore.decodeLeaseId(response.body()), response.storeEra());
             } catch (DecodeException e) {
                 LOG.warn("lease-unreadable").with("why", e.getMessage()).write();
                 scheduleRetry();
@@ -154,7 +156,7 @@
         });
     }
 
-    private void writeLeaderKey(long number) {
+    private void writeLeaderKey(long number, OptionalLong leaseEra) {
         isAttemptPending = true;
         byte[] value = vm.getBytes(StandardCharsets.UTF_8);
         PlatformCall put =
@@ -167,8 +169,18 @@
                 endLease(number);
                 return;
             }
+            if (!response.storeEra().equals(leaseEra)) {
+                LOG.warn("era-changed-in-election")
+                        .with("era", response.storeEra())
+                        .with("lease-era", leaseEra)
+                        .write();
+                isKeyHeld = false;
+                endLease(number);
+                return;
+            }
             try {
-                startTerm(number, MetadataStore.decodeRevision(response.body()));
+                long revision = MetadataStore.decodeRevision(response.body());
+                startTerm(number, TermNumber.of(leaseEra.orElse(0), revision));
             } catch (DecodeException e) {
                 LOG.warn("lease-unreadable").with("why", e.getMessage()).write();
                 endLease(number);
