--- a/core/src/main/java/org/citrontide/core/expertmap/GroupMap.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/GroupMap.java
@@ -1,6 +1,7 @@
 package org.citrontide.core.expertmap;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 
 /**
@@ -136,6 +137,29 @@
         return sum;
     }
 
+    /**
+     * Returns whether a rank holds the same experts in this map.
+     *
+     * @param rank index of the rank
+     * @param experts experts by set, in any order
+     * @return whether the experts are those of the rank in each set
+     */
+    public boolean hasExpertsOfRank(int rank, int[][] experts) {
+        if (experts.length != sets.size()) {
+            return false;
+        }
+        for (int s = 0; s < experts.length; s++) {
+            int[] own = sets.get(s).experts()[rank].clone();
+            int[] other = experts[s].clone();
+            Arrays.sort(own);
+            Arrays.sort(other);
+            if (!Arrays.equals(own, other)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private static boolean contains(int[] list, int e) {
         for (int x : list) {
             if (x == e) {
--- a/core/src/main/java/org/citrontide/core/expertmap/GroupMapChange.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/GroupMapChange.java
@@ -24,7 +24,8 @@
  *
  * <ul>
  *   <li>A rank is armed only after every rank of the group has accepted the map and had the time to copy it, or has
- *       reported it as prepared.
+ *       reported it as prepared. If no answer shows that a rank has accepted the map, its report is no proof, because
+ *       ranks don't compare maps of one version: the experts that it has prepared are read and compared.
  *   <li>The held pass is released only after every rank has answered an order to arm it for this pass, or if no rank is
  *       armed for it or could be. A report is no such answer: it names the version, but not the pass. No rank is ever
  *       disarmed.
@@ -75,10 +76,14 @@
     /** Monotonic time in ns at which each rank that accepted the map has copied its new experts. */
     private final Map<String, Long> copyEndNanos = new HashMap<>();
 
-    /** Ranks that refused to prepare the map, because they have it or because the group has formed again. */
+    /**
+     * Ranks that refused to prepare the map: they have it, or one of the same or a later version, or the group has
+     * formed again.
+     */
     private final Set<String> refusing = new HashSet<>();
 
     private final Set<String> pendingReports = new HashSet<>();
+    private final Set<String> pendingExpertReads = new HashSet<>();
     private State state = State.PREPARING;
     private long stateStartNanos;
     private long nextPollNanos;
@@ -252,7 +257,7 @@
                 && orders.isPending(id)
                 && r.prepared().isPresent()
                 && r.prepared().getAsLong() == version) {
-            completeOrder(id, context);
+            confirmPrepared(id, context);
         }
         if (state == State.ARMING && r.step() >= holdStep) {
             context.log("map-change-ended-by-other", "version " + version + " pass " + holdStep);
@@ -260,6 +265,32 @@
         }
     }
 
+    /** Completes the order of a rank that reports the version of the map as prepared, if it is this map. */
+    private void confirmPrepared(String id, EventContext context) {
+        if (copyEndNanos.containsKey(id)) {
+            completeOrder(id, context);
+        } else if (pendingExpertReads.add(id)) {
+            context.add(new MapAction.ReadPreparedExperts(id));
+        }
+    }
+
+    void handlePreparedExperts(MapEvent.PreparedExpertsRead read, EventContext context) {
+        String id = read.upstream();
+        boolean isRequested = pendingExpertReads.remove(id);
+        if (!isRequested || state != State.PREPARING || !orders.isPending(id) || read.version() != version) {
+            return;
+        }
+        if (read.experts().isEmpty()) {
+            return;
+        }
+        if (map.orElseThrow().hasExpertsOfRank(ranks.indexOf(id), read.experts().get())) {
+            completeOrder(id, context);
+        } else {
+            context.log("map-change-abandoned", "version " + version + " names another map on " + id);
+            state = State.ENDED;
+        }
+    }
+
     /** Returns the upstream of the rank that holds the pass. */
     String holder() {
         return holder;
--- a/core/src/main/java/org/citrontide/core/expertmap/GroupMapController.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/GroupMapController.java
@@ -25,7 +25,6 @@
     private static final Duration OBSERVE_INTERVAL = Duration.ofMillis(250);
     // Reports lag by about twice this interval.
     private static final Duration STALE_REPORT_INTERVAL = Duration.ofMillis(100);
-    private static final int MAX_STALE_REPORT_ROUNDS = 10;
     private static final Duration RESPONSE_TIMEOUT = Duration.ofSeconds(4);
     private static final int MAX_FAILED_READS = 2;
     // Neither of the two sampled ranks reported a new pass: the group may be idle, and a report costs less than counts.
@@ -55,11 +54,10 @@
     private final DemandSampler sampler = new DemandSampler();
     private final Set<String> pendingReads = new HashSet<>();
     private final GroupReports reports = new GroupReports();
+    private final OutdatedReports outdatedReports = new OutdatedReports();
     private final ExpertReads expertReads;
     private List<String> ranks = List.of();
     private int epoch;
-    private int newestSeenEpoch;
-    private int staleReportRounds;
     private final PassEstimator passEstimator = new PassEstimator();
     private final RoundTimeEstimator roundTimeEstimator = new RoundTimeEstimator();
     private Duration targetGap = Duration.ZERO;
@@ -112,6 +110,7 @@
             case MapEvent.TargetGapChanged t -> targetGap = t.targetGap();
             case MapEvent.ReportRead r -> handleReport(r, context);
             case MapEvent.ExpertsRead e -> handleExperts(e, context);
+            case MapEvent.PreparedExpertsRead p -> change.ifPresent(c -> c.handlePreparedExperts(p, context));
             case MapEvent.CountsRead c -> handleCounts(c, context);
             case MapEvent.OrderEnded r -> {
                 roundTimeEstimator.recordOrder(r.outcome() != OrderOutcome.UNANSWERED);
@@ -248,14 +247,11 @@
         if (completeGroup.isEmpty()) {
             return;
         }
-        if (reports.of(completeGroup.get().getFirst()).epoch() < newestSeenEpoch
-                && staleReportRounds < MAX_STALE_REPORT_ROUNDS) {
-            staleReportRounds++;
+        if (outdatedReports.mustReadAgain(
+                reports.of(completeGroup.get().getFirst()).epoch())) {
             nextActionNanos = context.nowNanos() + STALE_REPORT_INTERVAL.toNanos();
             return;
         }
-        staleReportRounds = 0;
-        newestSeenEpoch = 0;
         adoptGroup(completeGroup.get(), context);
         if (!reports.holdingRanks(ranks).isEmpty()) {
             if (heldPassRecovery.mustReadAgain(ranks, reports, context.nowNanos())) {
@@ -389,7 +385,7 @@
 
     /** Handles a new formation of the group. A change that may hold it ends by its own reads. */
     private void handleNewEpoch(int newEpoch, EventContext context) {
-        newestSeenEpoch = newEpoch;
+        outdatedReports.recordEpoch(newEpoch);
         if (!isHolding()) {
             change = Optional.empty();
             startObserving(Duration.ZERO, context);
--- a/core/src/main/java/org/citrontide/core/expertmap/MapAction.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/MapAction.java
@@ -27,6 +27,13 @@
      */
     record ReadExperts(String upstream) implements MapAction {}
 
+    /**
+     * Reads which experts an upstream has prepared.
+     *
+     * @param upstream identity of the upstream
+     */
+    record ReadPreparedExperts(String upstream) implements MapAction {}
+
     /**
      * Sends an order to a rank.
      *
--- a/core/src/main/java/org/citrontide/core/expertmap/MapEvent.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/MapEvent.java
@@ -64,6 +64,15 @@
      */
     record ExpertsRead(String upstream, long version, Optional<int[][]> experts) implements MapEvent {}
 
+    /**
+     * A read of the experts that a rank has prepared ended.
+     *
+     * @param upstream identity of the upstream
+     * @param version version of the prepared map
+     * @param experts experts by set, empty if the rank has prepared no map or the read failed
+     */
+    record PreparedExpertsRead(String upstream, long version, Optional<int[][]> experts) implements MapEvent {}
+
     /**
      * A reply to an order arrived, or the order timed out.
      *
--- a/core/src/test/java/org/citrontide/core/expertmap/FakeGroup.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/FakeGroup.java
@@ -189,6 +189,14 @@
         return new MapEvent.ExpertsRead("rank" + rank, map.version(), Optional.of(bySet));
     }
 
+    MapEvent.PreparedExpertsRead preparedExpertsOf(int rank) {
+        Optional<GroupMap> map = ranks.get(rank).prepared;
+        return new MapEvent.PreparedExpertsRead(
+                "rank" + rank,
+                map.map(GroupMap::version).orElse(0L),
+                map.map(m -> m.sets().stream().map(s -> s.experts()[rank]).toArray(int[][]::new)));
+    }
+
     /** Carries out an order and returns its outcome. */
     OrderOutcome handleOrder(int rank, int orderEpoch, RankOrder order, long nowMs) {
         orders++;
--- a/core/src/test/java/org/citrontide/core/expertmap/GroupMapChangeTest.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/GroupMapChangeTest.java
@@ -1,5 +1,6 @@
 package org.citrontide.core.expertmap;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -18,6 +19,7 @@
     private static final long HELD_STEP = 283;
     private static final long VERSION = 23;
     private static final List<String> RANKS = List.of("rank0", "rank1", "rank2", "rank3");
+    private static final GroupMap MAP = new GroupMap(VERSION, List.of(ExpertMap.roundRobin(8, RANKS.size(), 2)));
     private static final RankOrder HOLD = new RankOrder.Hold(HELD_STEP);
 
     @Test
@@ -96,6 +98,60 @@
         assertEquals(GroupMapChange.State.ENDED, change.state(), "the pass has started: the reports are read again");
     }
 
+    // Guards against a pass on two maps of one version: a rank that refused a map has another one of its version.
+    @Test
+    void aRankThatRefusedTheMapCountsAsPreparedOnlyByItsExperts() {
+        EventContext context = new EventContext(0);
+        GroupMapChange change = beginWithOneRefusal(context);
+        change.handleReport("rank3", Optional.of(preparedReport(3)), context);
+        assertFalse(holdsAny(context), "the report names the version, but not the map");
+        assertTrue(context.actions().contains(new MapAction.ReadPreparedExperts("rank3")));
+        int[][] others = {MAP.sets().getFirst().experts()[0]};
+        change.handlePreparedExperts(
+                new MapEvent.PreparedExpertsRead("rank3", MAP.version(), Optional.of(others)), context);
+        assertFalse(holdsAny(context));
+        assertEquals(GroupMapChange.State.ENDED, change.state(), "the next change has another version");
+    }
+
+    // Guards against a change that stalls because the answer of a rank that accepted the map was lost.
+    @Test
+    void aRankWhoseAnswerWasLostCountsAsPreparedByItsExperts() {
+        EventContext context = new EventContext(0);
+        GroupMapChange change = beginWithOneRefusal(context);
+        change.handleReport("rank3", Optional.of(preparedReport(3)), context);
+        change.handlePreparedExperts(new MapEvent.PreparedExpertsRead("rank3", 0, Optional.empty()), context);
+        change.handleReport("rank3", Optional.of(preparedReport(3)), context);
+        long reads = context.actions().stream()
+                .filter(new MapAction.ReadPreparedExperts("rank3")::equals)
+                .count();
+        assertEquals(2, reads, "a read that failed is sent again");
+        int[][] own = {MAP.sets().getFirst().experts()[3]};
+        change.handlePreparedExperts(
+                new MapEvent.PreparedExpertsRead("rank3", MAP.version(), Optional.of(own)), context);
+        assertTrue(holdsAny(context), "all ranks have prepared the map");
+    }
+
+    /** Begins a change that all ranks but the last one accept and copy; the last one refuses it. */
+    private static GroupMapChange beginWithOneRefusal(EventContext context) {
+        GroupMapChange change = GroupMapChange.begin(
+                RANKS, EPOCH, new PassEstimator(), new RoundTimeEstimator(), MAP, Duration.ZERO, context);
+        RankOrder prepare = new RankOrder.Prepare(MAP);
+        RANKS.subList(0, 3).forEach(r -> change.handleOutcome(r, prepare, OrderOutcome.DONE, context));
+        change.handleOutcome("rank3", prepare, OrderOutcome.REFUSED, context);
+        change.tick(context);
+        return change;
+    }
+
+    private static RankReport preparedReport(int rank) {
+        OptionalLong version = OptionalLong.of(MAP.version());
+        OptionalLong none = OptionalLong.empty();
+        return new RankReport("g", EPOCH, rank, RANKS.size(), true, 1, 22, version, none, none, 1, 0, 0);
+    }
+
+    private static boolean holdsAny(EventContext context) {
+        return orders(context).stream().anyMatch(a -> ((MapAction.SendOrder) a).order() instanceof RankOrder.Hold);
+    }
+
     @Test
     void reportsOfAHeldPassWithoutArmedRanksAreReadAgainUntilTheirLagHasPassed() {
         HoldConfirmation confirmation = new HoldConfirmation();
--- a/core/src/test/java/org/citrontide/core/expertmap/MapControllerSimulation.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/MapControllerSimulation.java
@@ -206,6 +206,13 @@
                     scheduleEvent(process, incarnation, new MapEvent.CountsRead(r.upstream(), counts));
                 }
                 case MapAction.ReadExperts r -> scheduleEvent(process, incarnation, readExperts(r.upstream()));
+                case MapAction.ReadPreparedExperts r ->
+                    scheduleEvent(
+                            process,
+                            incarnation,
+                            isLost()
+                                    ? new MapEvent.PreparedExpertsRead(r.upstream(), 0, Optional.empty())
+                                    : group.preparedExpertsOf(rankOf(r.upstream())));
                 case MapAction.SearchMap p -> {
                     lastSpeeds = p.loads().getFirst().rankSpeeds();
                     scheduleEvent(process, incarnation, new MapEvent.SearchEnded(p.search(searchSteps)));
--- a/core/src/test/java/org/citrontide/core/expertmap/ServiceMapSimulation.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/ServiceMapSimulation.java
@@ -117,6 +117,12 @@
                         r.upstream(),
                         new MapEvent.ExpertsRead(r.upstream(), 0, Optional.empty()),
                         g -> expertsOf(g, r.upstream()));
+            case MapAction.ReadPreparedExperts r ->
+                call(
+                        group,
+                        r.upstream(),
+                        new MapEvent.PreparedExpertsRead(r.upstream(), 0, Optional.empty()),
+                        g -> preparedExpertsOf(g, r.upstream()));
             case MapAction.SendOrder s -> {
                 if (random.nextDouble() < lossRate / 2) {
                     schedule(
@@ -160,6 +166,11 @@
         return new MapEvent.ExpertsRead(upstream, read.version(), read.experts());
     }
 
+    private static MapEvent preparedExpertsOf(FakeGroup g, String upstream) {
+        MapEvent.PreparedExpertsRead read = g.preparedExpertsOf(rankOf(upstream));
+        return new MapEvent.PreparedExpertsRead(upstream, read.version(), read.experts());
+    }
+
     private void handleResult(String group, MapEvent event) {
         perform(controller.handleResult(group, event, nanos()));
     }
--- a/gateway/src/main/java/org/citrontide/gateway/maps/MapControllerShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/maps/MapControllerShell.java
@@ -194,7 +194,18 @@
             switch (action.action()) {
                 case MapAction.ReadReport r -> readReport(key, r.upstream());
                 case MapAction.ReadCounts r -> readCounts(key, r.upstream());
-                case MapAction.ReadExperts r -> readExperts(key, r.upstream());
+                case MapAction.ReadExperts r ->
+                    readExperts(
+                            key,
+                            r.upstream(),
+                            new MapEvent.ExpertsRead(r.upstream(), 0, Optional.empty()),
+                            EngineCalls::decodeExperts);
+                case MapAction.ReadPreparedExperts r ->
+                    readExperts(
+                            key,
+                            r.upstream(),
+                            new MapEvent.PreparedExpertsRead(r.upstream(), 0, Optional.empty()),
+                            EngineCalls::decodePreparedExperts);
                 case MapAction.SendOrder s -> sendOrder(key, s);
                 case MapAction.SearchMap p -> searchMap(key, p);
                 case MapAction.LogEvent n ->
@@ -230,12 +241,12 @@
         });
     }
 
-    private void readExperts(GroupKey key, String id) {
+    private void readExperts(GroupKey key, String id, MapEvent failure, ExpertsDecoder decoder) {
         callUpstream(client::call, id, EngineCalls.readExperts(), READ_TIMEOUT, response -> {
-            MapEvent.ExpertsRead experts = new MapEvent.ExpertsRead(id, 0, Optional.empty());
+            MapEvent experts = failure;
             if (response.isPresent() && response.get().status() == OK) {
                 try {
-                    experts = EngineCalls.decodeExperts(id, response.get().body());
+                    experts = decoder.decode(id, response.get().body());
                 } catch (DecodeException e) {
                     logUnreadable(id, e);
                 }
@@ -284,6 +295,12 @@
                 .whenComplete((response, failure) -> handler.accept(Optional.ofNullable(response)));
     }
 
+    /** Decodes one of the maps that a response names. */
+    @FunctionalInterface
+    private interface ExpertsDecoder {
+        MapEvent decode(String upstream, byte[] body) throws DecodeException;
+    }
+
     /** A way to send a call. */
     @FunctionalInterface
     private interface UpstreamCall {
