--- a/core/src/main/java/org/citrontide/core/expertmap/PassEstimator.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/PassEstimator.java
@@ -5,7 +5,8 @@
 /**
  * Estimates which pass a group has reached, from the pass numbers that its ranks report. Not thread-safe.
  *
- * <p>Invariant: the number of the last known pass decreases only when the group forms again.
+ * <p>Invariants: the number of the last known pass decreases only when the group forms again or is observed anew;
+ * reads that show no new pass are counted also if the last known pass was only implied, and has not started after all.
  */
 final class PassEstimator {
     private static final Duration TYPICAL_PASS_TIME = Duration.ofMillis(50);
@@ -16,12 +17,14 @@
     private long lastStepNanos;
     private double passNanos = TYPICAL_PASS_TIME.toNanos();
     private int unchangedReads;
+    private boolean isLastImplied;
 
     /** Sets the last known pass without updating the estimated pass time. */
     void reset(long newest, long nowNanos) {
         lastStep = newest;
         lastStepNanos = nowNanos;
         unchangedReads = 0;
+        isLastImplied = false;
     }
 
     /** Records the pass number that a rank reported. */
@@ -31,15 +34,19 @@
             double smoothed = passNanos + SAMPLE_WEIGHT * (sample - passNanos);
             passNanos = Math.min(TYPICAL_PASS_TIME.toNanos() * MAX_PASS_TIME_FACTOR, smoothed);
             reset(newest, nowNanos);
-        } else if (newest == lastStep) {
+        } else if (newest == lastStep || isLastImplied) {
             unchangedReads++;
         }
     }
 
-    /** Records that a pass has started, as implied by a rank that refused to hold it. */
+    /**
+     * Records that a pass has started, as implied by a rank that refused to hold it. A rank that holds an earlier pass
+     * refuses as well.
+     */
     void advanceTo(long started, long nowNanos) {
         if (started > lastStep) {
             reset(started, nowNanos);
+            isLastImplied = true;
         }
     }
 
