--- a/core/src/main/java/org/citrontide/core/expertmap/GroupMapChange.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/GroupMapChange.java
@@ -209,8 +209,8 @@
         };
     }
 
-    /** Handles the loss of leadership. A change that holds the group is still completed. */
-    void handleDeposed() {
+    /** Ends the change, because leadership is lost or the profile has changed, unless ranks may be armed already. */
+    void endUnlessArming() {
         // An unanswered hold order is left to the next controller, which may already have found it.
         if (state == State.PREPARING || state == State.HOLDING) {
             state = State.ENDED;
--- a/core/src/main/java/org/citrontide/core/expertmap/GroupMapController.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/GroupMapController.java
@@ -31,8 +31,6 @@
     private static final int UNCHANGED_READS_TO_IDLE = 2;
     // About three seconds without a pass: the group is idle or held.
     private static final int UNCHANGED_READS_TO_OBSERVE = 12;
-    // An idle group starts no pass for a long time: after this many waits the usual sample interval applies again.
-    private static final int MAX_PASS_WAITS = 8;
 
     private enum Phase {
         IDLE,
@@ -43,7 +41,7 @@
         CHANGING
     }
 
-    private final EngineProfile profile;
+    private EngineProfile profile;
     private final ControlCosts costs;
     private List<String> members = List.of();
     private boolean isElected;
@@ -55,7 +53,7 @@
     private final Set<String> pendingReads = new HashSet<>();
     private final GroupReports reports = new GroupReports();
     private final OutdatedReports outdatedReports = new OutdatedReports();
-    private final ExpertReads expertReads;
+    private ExpertReads expertReads;
     private List<String> ranks = List.of();
     private int epoch;
     private final PassEstimator passEstimator = new PassEstimator();
@@ -65,9 +63,7 @@
     private Optional<GroupMap> current = Optional.empty();
     private Optional<GroupMap> next = Optional.empty();
     private Optional<GroupMapChange> change = Optional.empty();
-    private long inForceStep;
-    private String lastHolder = "";
-    private int passWaits;
+    private final FirstPassWait firstPassWait = new FirstPassWait();
     private int failedReads;
     private long nextSpeedReadNanos;
     private final HeldPassRecovery heldPassRecovery = new HeldPassRecovery();
@@ -108,6 +104,7 @@
             case MapEvent.Deposed d -> handleDeposed(context);
             case MapEvent.MembersChanged m -> members = m.upstreams();
             case MapEvent.TargetGapChanged t -> targetGap = t.targetGap();
+            case MapEvent.ProfileChanged p -> handleProfile(p.profile(), context);
             case MapEvent.ReportRead r -> handleReport(r, context);
             case MapEvent.ExpertsRead e -> handleExperts(e, context);
             case MapEvent.PreparedExpertsRead p -> change.ifPresent(c -> c.handlePreparedExperts(p, context));
@@ -134,13 +131,29 @@
 
     private void handleDeposed(EventContext context) {
         isElected = false;
-        change.ifPresent(GroupMapChange::handleDeposed);
+        change.ifPresent(GroupMapChange::endUnlessArming);
         if (!isHolding()) {
             change = Optional.empty();
             enterPhase(Phase.IDLE, context);
         }
     }
 
+    /**
+     * Begins anew with another profile. A change that holds the group is still completed, and which passes the ranks
+     * are armed for stays known; maps and the demand are read from the ranks again.
+     */
+    private void handleProfile(EngineProfile newProfile, EventContext context) {
+        profile = newProfile;
+        expertReads = new ExpertReads(newProfile.expertsPerSet());
+        rebalancePolicy = Optional.empty();
+        current = Optional.empty();
+        next = Optional.empty();
+        change.ifPresent(GroupMapChange::endUnlessArming);
+        if (change.isEmpty()) {
+            startObserving(Duration.ZERO, context);
+        }
+    }
+
     private void enterPhase(Phase newPhase, EventContext context) {
         phase = newPhase;
         phaseStartNanos = context.nowNanos();
@@ -287,7 +300,7 @@
         RankReport first = reports.of(ids.getFirst());
         double[] speeds = ids.stream().mapToDouble(id -> reports.of(id).speed()).toArray();
         passEstimator.reset(first.step(), context.nowNanos());
-        inForceStep = 0;
+        firstPassWait.clear();
         if (first.epoch() != epoch) {
             epoch = first.epoch();
             current = Optional.empty();
@@ -326,7 +339,7 @@
 
     /** Reads the counts of a few ranks if that is due. While a map is searched for or changed, the demand may shift. */
     private void readSamples(EventContext context) {
-        if (!isElected || !sampler.isDue(context.nowNanos())) {
+        if (!isElected || rebalancePolicy.isEmpty() || !sampler.isDue(context.nowNanos())) {
             return;
         }
         RebalancePolicy policy = rebalancePolicy.orElseThrow();
@@ -341,7 +354,7 @@
             loadSummary.start(ranks, profile.slots());
             ranks.forEach(id -> context.add(new MapAction.ReadReport(id)));
         }
-        boolean isRequired = passEstimator.lastStep() < inForceStep || phase == Phase.CHANGING || failedReads > 0;
+        boolean isRequired = !firstPassWait.isOver(passEstimator) || phase == Phase.CHANGING || failedReads > 0;
         int count = policy.ranksToRead(isRequired, context);
         sampler.requestReads(ranks, count, context);
         if (count == 0) {
@@ -380,7 +393,8 @@
     }
 
     private boolean isSampled() {
-        return phase == Phase.SAMPLING || phase == Phase.SEARCHING || phase == Phase.CHANGING;
+        return rebalancePolicy.isPresent()
+                && (phase == Phase.SAMPLING || phase == Phase.SEARCHING || phase == Phase.CHANGING);
     }
 
     /** Handles a new formation of the group. A change that may hold it ends by its own reads. */
@@ -404,8 +418,8 @@
             abandonOutdatedChange(context);
         } else if (phase == Phase.SAMPLING && passEstimator.unchangedReads() >= UNCHANGED_READS_TO_OBSERVE) {
             startObserving(Duration.ZERO, context);
-        } else if (phase == Phase.SAMPLING && passEstimator.lastStep() < inForceStep) {
-            awaitPass(context);
+        } else if (phase == Phase.SAMPLING && !firstPassWait.isOver(passEstimator)) {
+            firstPassWait.handleSample(sampler, passEstimator, epoch, context);
         }
     }
 
@@ -426,7 +440,7 @@
 
     /** Starts a search if the last change is in force and the map may not fit the demand. */
     private void searchIfDue(EventContext context) {
-        if (phase != Phase.SAMPLING || passEstimator.lastStep() < inForceStep) {
+        if (phase != Phase.SAMPLING || !firstPassWait.isOver(passEstimator)) {
             return;
         }
         Optional<MapAction.SearchMap> search =
@@ -438,21 +452,6 @@
         }
     }
 
-    /**
-     * Waits for the first pass under the map of the last change: until then the ranks refuse to prepare another map. An
-     * earlier order to hold that pass may be carried out late, so the order to release it is sent again.
-     */
-    private void awaitPass(EventContext context) {
-        passWaits++;
-        if (passWaits > MAX_PASS_WAITS) {
-            return;
-        }
-        sampler.scheduleAtStep(inForceStep, passEstimator, context.nowNanos());
-        if (passWaits > 1) {
-            context.add(new MapAction.SendOrder(lastHolder, epoch, new RankOrder.Go(inForceStep)));
-        }
-    }
-
     private void handleSearchEnded(GroupMap map, EventContext context) {
         if (phase != Phase.SEARCHING) {
             return;
@@ -477,20 +476,18 @@
         change = Optional.empty();
         heldPassRecovery.recordEnd(c);
         reportsValidNanos = context.nowNanos() + GroupMapChange.REPORT_LAG.toNanos();
-        if (c.state() == GroupMapChange.State.ENDED) {
+        if (c.state() == GroupMapChange.State.ENDED || next.isEmpty()) {
             startObserving(Duration.ZERO, context);
             return;
         }
         current = next;
-        inForceStep = c.holdStep();
-        lastHolder = c.holder();
-        passWaits = 0;
+        firstPassWait.start(c);
         if (!isElected) {
             enterPhase(Phase.IDLE, context);
             return;
         }
         rebalancePolicy.orElseThrow().requestEvaluation();
         startSampling(context);
-        sampler.scheduleAtStep(inForceStep, passEstimator, context.nowNanos());
+        firstPassWait.scheduleSample(sampler, passEstimator, context);
     }
 }
--- a/core/src/main/java/org/citrontide/core/expertmap/MapEvent.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/MapEvent.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.citrontide.core.routes.EngineProfile;
+
 /** An event that a {@link GroupMapController} handles. Immutable; arrays must not be modified. */
 public sealed interface MapEvent {
 
@@ -96,6 +98,13 @@
      */
     record TargetGapChanged(Duration targetGap) implements MapEvent {}
 
+    /**
+     * The configuration set other sizes or speeds of the engines of the service.
+     *
+     * @param profile the new profile
+     */
+    record ProfileChanged(EngineProfile profile) implements MapEvent {}
+
     /** The periodic timer fired. */
     record Tick() implements MapEvent {}
 }
--- a/core/src/main/java/org/citrontide/core/expertmap/ServiceMapController.java
+++ b/core/src/main/java/org/citrontide/core/expertmap/ServiceMapController.java
@@ -18,7 +18,7 @@
  *
  * <p>Invariants: a controller handles only reports of its own group; results of an action reach the controller that
  * requested it; a controller that may hold its group is kept until it has released it; a version of a map is used once
- * in a term, also by successors.
+ * in a term; what is known of orders that may still be carried out outlasts a change of the engine profile.
  *
  * <p>Not thread-safe: confined to one thread. It does no I/O and reads no clock.
  */
@@ -29,9 +29,9 @@
     // Reads of reports time out earlier; without a bound, upstreams that fail one after the other delay all groups.
     private static final Duration MAX_ASSIGNMENT_DELAY = Duration.ofMillis(300);
 
-    private final EngineProfile profile;
+    private EngineProfile profile;
     private final ControlCosts costs;
-    private final MapVersionSequence versions;
+    private final MapVersionSequence versions = new MapVersionSequence();
     private final GroupDirectory directory = new GroupDirectory();
     private final Map<String, GroupMapController> controllers = new TreeMap<>();
     private Optional<Long> term = Optional.empty();
@@ -53,24 +53,8 @@
      * @param costs prices of reads, orders and copies
      */
     public ServiceMapController(EngineProfile profile, ControlCosts costs) {
-        this(profile, costs, new MapVersionSequence());
-    }
-
-    private ServiceMapController(EngineProfile profile, ControlCosts costs, MapVersionSequence versions) {
         this.profile = profile;
         this.costs = costs;
-        this.versions = versions;
-    }
-
-    /**
-     * Creates the controller that takes the place of this one when the engine profile changes. It goes on with the
-     * versions of this one, because ranks don't compare maps of the same version.
-     *
-     * @param newProfile sizes and speeds of the engines of the service
-     * @return a controller whose groups are unknown
-     */
-    public ServiceMapController successor(EngineProfile newProfile) {
-        return new ServiceMapController(newProfile, costs, versions);
     }
 
     /**
@@ -86,6 +70,7 @@
             case MapEvent.Elected e -> term = Optional.of(e.term());
             case MapEvent.Deposed d -> term = Optional.empty();
             case MapEvent.TargetGapChanged t -> targetGap = t.targetGap();
+            case MapEvent.ProfileChanged p -> profile = p.profile();
             case MapEvent.MembersChanged m -> {
                 directory.setUpstreams(m.upstreams());
                 requestAssignment(nowNanos);
--- a/gateway/src/main/java/org/citrontide/gateway/maps/MapControllerShell.java
+++ b/gateway/src/main/java/org/citrontide/gateway/maps/MapControllerShell.java
@@ -86,8 +86,8 @@
     }
 
     /**
-     * Handles a new configuration: creates a controller for each service whose engines form groups, unless it already
-     * has one for the same engine profile.
+     * Handles a new configuration: creates a controller for each service whose engines form groups, or tells the one
+     * that it has of another engine profile.
      *
      * @param table the configuration in force
      */
@@ -159,11 +159,11 @@
         if (profile.equals(profiles.put(service, profile))) {
             return;
         }
-        controllers.compute(
-                service,
-                (name, previous) -> previous == null
-                        ? new ServiceMapController(profile, controlCosts)
-                        : previous.successor(profile));
+        if (controllers.containsKey(service)) {
+            handle(service, new MapEvent.ProfileChanged(profile));
+            return;
+        }
+        controllers.put(service, new ServiceMapController(profile, controlCosts));
         term.ifPresent(t -> handle(service, new MapEvent.Elected(t)));
         updateMembers(service);
     }
