--- a/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
+++ b/gateway/src/main/java/org/citrontide/gateway/daemon/ControlPlane.java
@@ -143,6 +143,7 @@
 
     @Override
     public void leaderKeyUpdated(boolean isHeld) {
+        leaderElection.handleEra(mirror.storeEra());
         leaderElection.handleLeaderKey(isHeld);
     }
 
--- a/gateway/src/main/java/org/citrontide/gateway/store/LeaderElection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/LeaderElection.java
@@ -11,6 +11,7 @@
 
 import io.netty.channel.EventLoop;
 import org.citrontide.core.lease.CandidacyDelay;
+import org.citrontide.core.lease.EraGrace;
 import org.citrontide.core.lease.LeaseValidity;
 import org.citrontide.core.lease.TermNumber;
 import org.citrontide.platform.DecodeException;
@@ -24,7 +25,8 @@
  * <p>Invariant: a process considers itself the leader only while its lease is certain to be valid, measured on both
  * clocks from before the call that granted or renewed the lease; a single renewal without a response does not end a
  * term. A term begins only if the lease was granted and the key written in the same era of the store, so that a single
- * response with another era numbers no term. Not thread-safe: confined to the event loop.
+ * response with another era numbers no term. A term ends with its era, and none begins before the terms of the era
+ * before have ended. Not thread-safe: confined to the event loop.
  */
 public final class LeaderElection {
     /** Key that the leader writes; its value is the name of the leader's VM. */
@@ -57,7 +59,9 @@
     private final String vm;
     private final Listener listener;
     private final LeaseValidity lease = new LeaseValidity(LEASE_TTL);
+    private final EraGrace eraGrace = new EraGrace(LEASE_TTL);
     private OptionalLong leaseNumber = OptionalLong.empty();
+    private OptionalLong leaseEra = OptionalLong.empty();
     private boolean isLeader;
     private boolean isAttemptPending;
     private boolean isKeyHeld = true;
@@ -96,6 +100,15 @@
         this.listener = listener;
     }
 
+    /**
+     * Handles the era of the store as read by this process.
+     *
+     * @param era number of the era, 0 if the store names none
+     */
+    public void handleEra(long era) {
+        eraGrace.recordEra(era, System.nanoTime());
+    }
+
     /**
      * Handles the state of the leader key as read from the store. If no process holds the key, this process becomes a
      * candidate after its delay.
@@ -109,7 +122,9 @@
         }
         if (!isHeld && !isAttemptPending && !hasResigned) {
             isAttemptPending = true;
-            loop.schedule(this::requestLease, candidacyDelay.next().toNanos(), TimeUnit.NANOSECONDS);
+            long graceNanos = eraGrace.remaining(System.nanoTime()).toNanos();
+            long delayNanos = Math.max(graceNanos, candidacyDelay.next().toNanos());
+            loop.schedule(this::requestLease, delayNanos, TimeUnit.NANOSECONDS);
         }
     }
 
@@ -148,7 +163,7 @@
                 return;
             }
             try {
-                writeLeaderKey(MetadataStore.decodeLeaseId(response.body()), response.storeEra());
+                handleLease(MetadataStore.decodeLeaseId(response.body()), response.storeEra());
             } catch (DecodeException e) {
                 LOG.warn("lease-unreadable").with("why", e.getMessage()).write();
                 scheduleRetry();
@@ -156,7 +171,18 @@
         });
     }
 
-    private void writeLeaderKey(long number, OptionalLong leaseEra) {
+    private void handleLease(long number, OptionalLong era) {
+        handleEra(era.orElse(0));
+        if (eraGrace.remaining(System.nanoTime()).isPositive()) {
+            LOG.info("candidacy-postponed").with("era", era.orElse(0)).write();
+            endLease(number);
+            return;
+        }
+        leaseEra = era;
+        writeLeaderKey(number);
+    }
+
+    private void writeLeaderKey(long number) {
         isAttemptPending = true;
         byte[] value = vm.getBytes(StandardCharsets.UTF_8);
         PlatformCall put =
@@ -171,8 +197,8 @@
             }
             if (!response.storeEra().equals(leaseEra)) {
                 LOG.warn("era-changed-in-election")
-                        .with("era", response.storeEra())
-                        .with("lease-era", leaseEra)
+                        .with("era", response.storeEra().orElse(0))
+                        .with("lease-era", leaseEra.orElse(0))
                         .write();
                 isKeyHeld = false;
                 endLease(number);
@@ -226,6 +252,11 @@
                 depose("lease ended");
                 return;
             }
+            if (failure == null && !response.storeEra().equals(leaseEra)) {
+                depose("store returned");
+                endLease(number);
+                return;
+            }
             if (failure == null && response.status() == OK) {
                 lease.recordGrant();
                 wasUnanswered = false;
--- a/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
@@ -378,6 +378,11 @@
         }
     }
 
+    /** Returns the era of the store, 0 if it names none. */
+    public long storeEra() {
+        return reader.era();
+    }
+
     private static void notifyListener(String subject, Runnable notification) {
         new GuardedTask("notify-" + subject, notification).run();
     }
--- a/gateway/src/test/java/org/citrontide/gateway/store/LeaderElectionTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/store/LeaderElectionTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongConsumer;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -112,6 +113,21 @@
         assertTrue(terms.get(1) > terms.get(0), "terms " + terms);
     }
 
+    /** Guards against two leaders at a time, which can leave a group held for good, after the store has returned. */
+    @Test
+    void aCandidateOfANewEraWaitsUntilTheLeaderOfTheEraBeforeHasEndedItsTerm() throws IOException {
+        AtomicInteger ended = new AtomicInteger(-1);
+        try (FakePlatformStore store = new FakePlatformStore()) {
+            FakePlatformStore.Snapshot copy = store.takeSnapshot();
+            startCandidate(store.port());
+            await("the first candidate is elected", () -> elections.get() == 1);
+            store.restore(copy);
+            startCandidate(store.port(), term -> ended.set(depositions.get()));
+            await("the second candidate is elected", () -> ended.get() >= 0);
+        }
+        assertEquals(1, ended.get(), "terms that had ended when the second one began");
+    }
+
     /** Guards against a term that all later ones stay below because one response named another era. */
     @Test
     void aSingleResponseOfAnotherEraNumbersNoTerm() throws IOException {
@@ -136,6 +152,10 @@
     }
 
     private void startCandidate(int storePort) {
+        startCandidate(storePort, term -> {});
+    }
+
+    private void startCandidate(int storePort, LongConsumer electionListener) {
         EventLoop loop = loops.next();
         LeaderElection election = new LeaderElection(
                 PlatformClient.forStore(loop),
@@ -147,6 +167,7 @@
                     @Override
                     public void elected(long term) {
                         terms.add(term);
+                        electionListener.accept(term);
                         elections.incrementAndGet();
                     }
 
