--- a/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/StoreMirror.java
@@ -378,7 +378,11 @@
         }
     }
 
-    /** Returns the era of the store, 0 if it names none. */
+    /**
+     * Returns the era of the store.
+     *
+     * @return number of the era, 0 if the store names none
+     */
     public long storeEra() {
         return reader.era();
     }
