--- a/gateway/src/main/java/org/citrontide/gateway/store/LeaderElection.java
+++ b/gateway/src/main/java/org/citrontide/gateway/store/LeaderElection.java
@@ -252,7 +252,11 @@
                 depose("lease ended");
                 return;
             }
-            if (failure == null && !response.storeEra().equals(leaseEra)) {
+            // A response that names no era may come from what stands before the store, and says nothing of it.
+            boolean isOtherEra = failure == null
+                    && response.storeEra().isPresent()
+                    && !response.storeEra().equals(leaseEra);
+            if (isOtherEra) {
                 depose("store returned");
                 endLease(number);
                 return;
--- a/gateway/src/test/java/org/citrontide/gateway/store/LeaderElectionTest.java
+++ b/gateway/src/test/java/org/citrontide/gateway/store/LeaderElectionTest.java
@@ -128,6 +128,23 @@
         assertEquals(1, ended.get(), "terms that had ended when the second one began");
     }
 
+    /** Guards against a term that ends because a refusal names no era. */
+    @Test
+    void aRefusedRenewalThatNamesNoEraDoesNotEndATerm() throws IOException {
+        try (FakeServer store = new FakeServer(new InetSocketAddress("127.0.0.1", 0), call -> {
+            if (call.target().startsWith("POST /-/kv-keep/") && renewals.getAndIncrement() % 2 == 0) {
+                return FakeServer.Reply.status(UNAVAILABLE);
+            }
+            call.setHeader("Store-Era", "2");
+            return serve(call);
+        })) {
+            startCandidate(store.port());
+            await("the lease is renewed", () -> renewals.get() >= 5);
+        }
+        assertEquals(1, elections.get());
+        assertEquals(0, depositions.get());
+    }
+
     /** Guards against a term that all later ones stay below because one response named another era. */
     @Test
     void aSingleResponseOfAnotherEraNumbersNoTerm() throws IOException {
