--- a/core/src/test/java/org/citrontide/core/expertmap/GroupMapControllerTest.java
+++ b/core/src/test/java/org/citrontide/core/expertmap/GroupMapControllerTest.java
@@ -125,6 +125,14 @@
         played.forEach((d, count) -> assertTrue(count > 400, d + ": " + count));
     }
 
+    // Guards against a pass on two maps because a change of the profile forgets for which pass the ranks are armed.
+    @Test
+    void startsNoPassOnTwoMapsIfTheProfileChangesWhileOrdersAreUnanswered() {
+        playSilentRanks(24, 12, Set.of(Disturbance.PROFILE_CHANGE));
+        playSilentRanks(146, 13, Set.of(Disturbance.PROFILE_CHANGE));
+        playSilentRanks(149, 16, Set.of(Disturbance.PROFILE_CHANGE));
+    }
+
     // Guards against a group that stays held because a refused order to hold a pass counts as a sign that it has begun.
     @Test
     void noGroupStaysHeldIfARankRefusesToHoldASecondPass() {
